--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/plantainway/api/_http.py
@@ -0,0 +1,70 @@
+"""What the HTTP interfaces share."""
+
+import json
+
+from aiohttp import web
+
+from plantainway import errors
+from plantainway import logs
+
+BODY_MAX_BYTES = 4 << 20
+
+
+def error_response(exc: errors.PlantainwayError) -> web.Response:
+    """Returns an error as a response.
+
+    Args:
+        exc: The error.
+    """
+    headers = {}
+    if isinstance(exc, errors.NotRunError):
+        headers['Retry-After'] = str(exc.retry_after_s)
+    return web.json_response(
+        {'error': exc.to_dict()}, status=exc.http_status, headers=headers
+    )
+
+
+@web.middleware
+async def error_middleware(request, handler):
+    """Turns errors into coded responses.
+
+    Args:
+        request: Request of the caller.
+        handler: Handler to call.
+    """
+    try:
+        return await handler(request)
+    except errors.PlantainwayError as exc:
+        logs.event(
+            'request_failed',
+            'DEBUG',
+            path=request.path,
+            code=exc.code,
+            step=exc.step,
+            reason=exc.message,
+        )
+        return error_response(exc)
+    except web.HTTPException as exc:
+        if exc.status < 400:
+            raise
+        found = errors.BadRequestError(exc.reason, 'http')
+        found.http_status = exc.status
+        return error_response(found)
+
+
+async def json_body(request) -> dict:
+    """Reads a JSON object.
+
+    Args:
+        request: Request of the caller.
+
+    Raises:
+        BadRequestError: If the body is something else.
+    """
+    try:
+        body = json.loads(await request.read())
+    except (ValueError, RecursionError) as exc:
+        raise errors.BadRequestError(f'not JSON: {exc}'[:200], 'http')
+    if not isinstance(body, dict):
+        raise errors.BadRequestError('expected a JSON object', 'http')
+    return body
--- /dev/null
+++ b/plantainway/cli.py
@@ -0,0 +1,339 @@
+"""The command line."""
+
+import asyncio
+import json
+import os
+import sys
+
+import fire
+import uvloop
+
+from plantainway import client
+from plantainway import errors
+from plantainway import keys
+from plantainway import logs
+from plantainway import node as nodes
+from plantainway import objects
+from plantainway import sessions
+from plantainway import settings
+
+EXIT_OK = 0
+EXIT_NO = 1
+EXIT_USAGE = 2
+
+
+class UsageError(errors.PlantainwayError):
+    """A command was called with wrong arguments."""
+
+    code = 'usage'
+
+
+def _print(text: str) -> None:
+    sys.stdout.write(text + '\n')
+
+
+def _print_json(value) -> None:
+    _print(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def _parse(files) -> objects.ObjectSet:
+    if not files:
+        raise UsageError('name at least one FILE', 'arguments')
+    parsed, faults = objects.parse_documents(files)
+    if faults:
+        raise errors.ObjectsInvalidError(faults)
+    return parsed
+
+
+def _bodies(parsed) -> list[dict]:
+    return [
+        json.loads(item.model_dump_json()) for item in parsed.by_id.values()
+    ]
+
+
+def _option(value, variable: str, name: str) -> str:
+    value = value or os.environ.get(variable, '')
+    if not value:
+        raise UsageError(f'give --{name} or set {variable}', 'arguments')
+    return str(value)
+
+
+class Commands:
+    """Serves language models whose replicas span several VMs.
+
+    Exit status: 0 success, 1 the answer is no, 2 wrong use. Errors go to
+    standard error with their code.
+
+    Operator commands take the address of any node's operator API with
+    --operator or PLANTAINWAY_OPERATOR, and a key with --key or
+    PLANTAINWAY_OPERATOR_KEY. Caller commands take --entry or
+    PLANTAINWAY_ENTRY, and --key or PLANTAINWAY_KEY.
+    """
+
+    def node(self, settings_file=None, **flags):
+        """Runs a node until SIGTERM, then drains it.
+
+        SIGUSR1 writes the state of all tasks to the log.
+
+        Args:
+            settings_file: Path of the JSON settings; also --settings.
+            flags: --settings FILE.
+        """
+        path = flags.pop('settings', None) or settings_file
+        if not path or flags:
+            raise UsageError('node --settings FILE', 'arguments')
+        cfg = settings.load(str(path))
+        logs.configure(cfg.log_level)
+        uvloop.install()
+        nodes.run(cfg)
+        return EXIT_OK
+
+    def check(self, *files):
+        """Checks a whole set of declared objects offline.
+
+        Args:
+            files: JSON files, each with an object or a list of objects.
+        """
+        if not files:
+            raise UsageError('check FILE...', 'arguments')
+        parsed, faults = objects.parse_documents(files)
+        faults = sorted(faults + objects.check_set(parsed))
+        if faults:
+            raise errors.ObjectsInvalidError(faults)
+        _print(f'ok: {len(parsed.by_id)} objects')
+        return EXIT_OK
+
+    def apply(self, *files, operator=None, key=None, dry_run=False):
+        """Publishes objects.
+
+        Args:
+            files: JSON files, each with an object or a list of objects.
+            operator: IP:PORT of a node's operator API.
+            key: Operator key.
+            dry_run: Check only.
+        """
+        body = {'objects': _bodies(_parse(files)), 'dry_run': bool(dry_run)}
+        return self._operator(operator, key, 'POST', 'apply', body)
+
+    def diff(self, *files, operator=None, key=None):
+        """Shows how files differ from the objects in force.
+
+        Exit status 1 if they do.
+
+        Args:
+            files: JSON files, each with an object or a list of objects.
+            operator: IP:PORT of a node's operator API.
+            key: Operator key.
+        """
+        body = {'objects': _bodies(_parse(files))}
+        found = self._ask_operator(operator, key, 'POST', 'diff', body)
+        for row in found['diff']:
+            _print(f'{row["action"]} {row["kind"]}/{row["name"]}')
+        return EXIT_NO if found['diff'] else EXIT_OK
+
+    def get(self, kind, name=None, operator=None, key=None):
+        """Shows the objects of a kind, or one object.
+
+        Args:
+            kind: Kind of the objects.
+            name: Name of one object.
+            operator: IP:PORT of a node's operator API.
+            key: Operator key.
+        """
+        path = f'objects/{kind}' + (f'/{name}' if name else '')
+        return self._operator(operator, key, 'GET', path)
+
+    def delete(self, kind, name, base=None, operator=None, key=None):
+        """Deletes an object.
+
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            base: Version that the decision was made on.
+            operator: IP:PORT of a node's operator API.
+            key: Operator key.
+        """
+        return self._operator(
+            operator, key, 'DELETE', f'objects/{kind}/{name}', base=base
+        )
+
+    def evidence(
+        self, promise=None, since=None, until=None, operator=None, key=None
+    ):
+        """Answers for each promise: held, broken or not_known.
+
+        Exit status 1 unless all are held.
+
+        Args:
+            promise: Name of one promise.
+            since: Start of the period, seconds since 1970.
+            until: End of the period, seconds since 1970.
+            operator: IP:PORT of a node's operator API.
+            key: Operator key.
+        """
+        found = self._ask_operator(
+            operator,
+            key,
+            'GET',
+            'evidence',
+            promise=promise,
+            since=since,
+            until=until,
+        )
+        _print_json(found)
+        held = all(item['state'] == 'held' for item in found['answers'])
+        return EXIT_OK if held else EXIT_NO
+
+    def state(self, node, key=None):
+        """Shows the state of a node's tasks.
+
+        Args:
+            node: IP:PORT of the node's operator API.
+            key: Operator key.
+        """
+        return self._operator(node, key, 'GET', 'state')
+
+    def entries(self, entry=None):
+        """Shows which addresses to use, and for how long.
+
+        Args:
+            entry: IP:PORT of any node, several joined by commas.
+        """
+
+        async def run():
+            async with sessions.new_session() as session:
+                return await _caller(entry, 'none', session).entries()
+
+        _print_json(asyncio.run(run()))
+        return EXIT_OK
+
+    def ask(self, model, text, entry=None, key=None, max_tokens=64):
+        """Sends a chat request and streams the answer.
+
+        Follows the directory, reconnects and resumes.
+
+        Args:
+            model: Name of the model.
+            text: Prompt.
+            entry: IP:PORT of any node, several joined by commas.
+            key: Caller key.
+            max_tokens: Longest answer.
+        """
+        body = {
+            'model': str(model),
+            'messages': [{'role': 'user', 'content': str(text)}],
+            'max_tokens': int(max_tokens),
+        }
+        secret = _option(key, 'PLANTAINWAY_KEY', 'key')
+
+        def show(piece):
+            sys.stdout.write(piece)
+            sys.stdout.flush()
+
+        async def run():
+            async with sessions.new_session() as session:
+                await _caller(entry, secret, session).ask(body, show)
+
+        asyncio.run(run())
+        _print('')
+        return EXIT_OK
+
+    def key(self, name):
+        """Creates a key; prints it and the digest to declare.
+
+        Args:
+            name: Name of the client account or operator.
+        """
+        text, digest = keys.create(str(name))
+        _print_json({'key': text, 'declare': digest})
+        return EXIT_OK
+
+    def demo(self, breach='', log_level='ERROR'):
+        """Runs the whole path on this machine, on free loopback ports.
+
+        Args:
+            breach: Breach to plant: double-run or half-group.
+            log_level: Lowest level of events to show.
+        """
+        from plantainway import demo
+
+        if breach and breach not in demo.BREACHES:
+            raise UsageError(
+                '--breach must be one of ' + ', '.join(demo.BREACHES),
+                'arguments',
+            )
+        logs.configure(log_level)
+        uvloop.install()
+        return EXIT_OK if asyncio.run(demo.run(breach)) else EXIT_NO
+
+    def standins(self, *files, platform=None):
+        """Runs stand-ins of the platform and of declared upstreams.
+
+        Args:
+            files: Object files whose upstreams to run, at their addresses.
+            platform: IP:PORT for the platform's services.
+        """
+        from plantainway.standins import _run
+
+        if not platform:
+            raise UsageError('standins FILE... --platform=IP:PORT', '')
+        uvloop.install()
+        asyncio.run(_run.serve(_parse(files), str(platform)))
+        return EXIT_OK
+
+    def _ask_operator(self, operator, key, method, path, body=None, **params):
+        address = _option(operator, 'PLANTAINWAY_OPERATOR', 'operator')
+        secret = _option(key, 'PLANTAINWAY_OPERATOR_KEY', 'key')
+
+        async def run():
+            async with sessions.new_session() as session:
+                return await client.OperatorClient(
+                    address, secret, session
+                ).call(method, path, body, **params)
+
+        return asyncio.run(run())
+
+    def _operator(self, operator, key, method, path, body=None, **params):
+        _print_json(
+            self._ask_operator(operator, key, method, path, body, **params)
+        )
+        return EXIT_OK
+
+
+def _caller(entry, key, session) -> client.AskClient:
+    address = _option(entry, 'PLANTAINWAY_ENTRY', 'entry')
+    return client.AskClient(address.split(','), key, session)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs one command.
+
+    Args:
+        argv: Arguments, those of the process by default.
+
+    Returns:
+        Exit status.
+    """
+    try:
+        status = fire.Fire(
+            Commands(),
+            command=argv,
+            name='plantainway',
+            serialize=lambda result: '',
+        )
+        return status if isinstance(status, int) else EXIT_OK
+    except errors.ObjectsInvalidError as exc:
+        for fault in exc.faults:
+            sys.stderr.write(f'{fault}\n')
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_NO
+    except (UsageError, errors.SettingsError) as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_USAGE
+    except errors.PlantainwayError as exc:
+        sys.stderr.write(f'{exc}\n')
+        for fault in getattr(exc, 'body', {}).get('faults', []):
+            sys.stderr.write(json.dumps(fault) + '\n')
+        return EXIT_NO
+    except KeyboardInterrupt:
+        return EXIT_NO
--- /dev/null
+++ b/plantainway/demo.py
@@ -0,0 +1,543 @@
+"""The whole path on one machine: stand-ins and three nodes as tasks."""
+
+import asyncio
+import contextlib
+import sys
+import time
+
+from plantainway import client
+from plantainway import errors
+from plantainway import keys
+from plantainway import node as nodes
+from plantainway import platform
+from plantainway import sessions
+from plantainway import settings
+from plantainway import standins
+
+STEP_TIMEOUT_S = 40.0
+POLL_S = 0.1
+NODES = ('praha-a-1', 'praha-b-1', 'kladno-c-1')
+DOMAINS = {'fab-a': 'praha-a', 'fab-b': 'praha-b'}
+VMS_PER_DOMAIN = 5
+VMS_PER_COPY = 4
+WEIGHT_BYTES = 50_000_000
+WEIGHT_RATE = 100_000_000
+LONG_ANSWER = 150
+BREACHES = ('double-run', 'half-group')
+
+
+class StepError(errors.PlantainwayError):
+    """A step of the demo did not come out as it must."""
+
+    code = 'demo_failed'
+
+
+class World:
+    """Stand-ins and nodes on free loopback ports.
+
+    Args:
+        node_names: Names of the nodes to start.
+        token_s: Seconds from one token to the next.
+    """
+
+    def __init__(self, node_names=NODES, token_s: float = 0.02):
+        self.node_names = list(node_names)
+        self.token_s = token_s
+        self.platform = standins.PlatformStandIn()
+        self.fleet = standins.Fleet(self.platform.weights)
+        self.ledgers: dict[str, standins.ServiceStandIn] = {}
+        self.nodes: dict[str, nodes.Node] = {}
+        self.operator_key, self._operator = keys.create('ops')
+        self.caller_key, self.caller_digest = keys.create('shops')
+        self.session = None
+
+    async def start(self, domains=None, vms_per_domain=VMS_PER_DOMAIN):
+        """Starts the stand-ins and the nodes.
+
+        Args:
+            domains: Place of each fabric domain.
+            vms_per_domain: Engines in each.
+        """
+        self.domains = domains or DOMAINS
+        self.platform.weights.rate = WEIGHT_RATE
+        self.platform.weights.sizes['w1'] = WEIGHT_BYTES
+        await self.platform.start()
+        for domain in self.domains:
+            for number in range(1, vms_per_domain + 1):
+                await self.add_engine(domain, number)
+        for number in (1, 2):
+            name = f'ledger-{number}'
+            self.ledgers[name] = standins.ServiceStandIn()
+            await self.ledgers[name].start()
+        for name in self.node_names:
+            await self.start_node(name)
+
+    async def add_engine(self, domain: str, number: int) -> None:
+        """Starts one engine and lists its VM.
+
+        Args:
+            domain: Fabric domain.
+            number: Number within it.
+        """
+        engine = standins.EngineStandIn(
+            f'{domain}-{number}', self.fleet, token_s=self.token_s
+        )
+        await engine.start()
+        self.list_vm(engine.vm, domain)
+
+    def list_vm(self, vm: str, domain: str, leaving: bool = False) -> None:
+        """Puts a VM on the platform's list.
+
+        Args:
+            vm: Name of the VM.
+            domain: Its fabric domain.
+            leaving: Whether it is leaving.
+        """
+        self.platform.vm_list.update(
+            platform.VmEntry(
+                vm,
+                self.fleet.engines[vm].server.address,
+                self.domains[domain],
+                domain,
+                leaving,
+            )
+        )
+
+    def settings_of(self, name: str) -> settings.Settings:
+        """Returns the settings of a node on free ports.
+
+        Args:
+            name: Name of the node.
+        """
+        place = name.rpartition('-')[0]
+        seeds = [other.peer_address for other in self.nodes.values()]
+        return settings.Settings.model_validate(
+            {
+                'node': name,
+                'region': 'cz-central',
+                'failure_domain': place,
+                'place': place,
+                'listen': {
+                    'caller': '127.0.0.1:0',
+                    'operator': '127.0.0.1:0',
+                    'peer': '127.0.0.1:0',
+                },
+                'platform': self.platform.endpoints(),
+                'seed_peers': seeds,
+                'operator_keys': [{'name': 'ops', **self._operator}],
+            }
+        )
+
+    async def start_node(self, name: str) -> nodes.Node:
+        """Starts a node.
+
+        Args:
+            name: Name of the node.
+        """
+        node = nodes.Node(self.settings_of(name))
+        await node.start()
+        self.nodes[name] = node
+        return node
+
+    def objects(self, copies: int = 2) -> list[dict]:
+        """Returns the declared objects.
+
+        Args:
+            copies: Copies of the one replica group.
+        """
+        places = sorted(set(self.domains.values()))
+        declared = [
+            {'kind': 'place', 'name': place, 'region': 'cz-central'}
+            for place in places
+        ]
+        declared += [
+            {'kind': 'fabric_domain', 'name': domain, 'place': place}
+            for domain, place in self.domains.items()
+        ]
+        declared += [
+            {'kind': 'model', 'name': 'assistant', 'default_version': 'v1'},
+            {
+                'kind': 'model_version',
+                'name': 'v1',
+                'model': 'assistant',
+                'weights': 'w1',
+            },
+            {
+                'kind': 'replica_group',
+                'name': 'orders',
+                'model_version': 'v1',
+                'copies': copies,
+                'vms_per_copy': VMS_PER_COPY,
+                'fabric_domains': list(self.domains),
+                'downtime_weight': 3.0,
+            },
+            {'kind': 'priority', 'name': 'counter', 'rank': 0},
+            {
+                'kind': 'client_account',
+                'name': 'shops',
+                'keys': [self.caller_digest],
+                'priority': 'counter',
+                'limits': {
+                    'concurrent': 60,
+                    'requests_per_second': 50.0,
+                    'tokens_per_second': 5000.0,
+                },
+            },
+        ]
+        for vm, engine in self.fleet.engines.items():
+            domain = vm.rpartition('-')[0]
+            declared.append(
+                {
+                    'kind': 'upstream',
+                    'name': vm,
+                    'type': 'runner',
+                    'address': engine.server.address,
+                    'place': self.domains[domain],
+                    'fabric_domain': domain,
+                    'accelerators': 1,
+                    'checks_fencing': engine.checks_fencing,
+                }
+            )
+        for name, ledger in self.ledgers.items():
+            declared.append(
+                {
+                    'kind': 'upstream',
+                    'name': name,
+                    'type': 'service',
+                    'service': 'ledger',
+                    'address': ledger.server.address,
+                    'place': places[0],
+                }
+            )
+        return declared
+
+    def operator(self, name: str | None = None) -> client.OperatorClient:
+        """Returns an operator's client.
+
+        Args:
+            name: Node to talk to, the first one by default.
+        """
+        node = self.nodes[name or next(iter(self.nodes))]
+        return client.OperatorClient(
+            node.operator_address, self.operator_key, self.session
+        )
+
+    def caller(self) -> client.AskClient:
+        """Returns a caller's client that knows every node."""
+        return client.AskClient(
+            [node.caller_address for node in self.nodes.values()],
+            self.caller_key,
+            self.session,
+        )
+
+    async def copies(self, name: str | None = None) -> dict:
+        """Returns the copies as a node routes to them.
+
+        Args:
+            name: Node to ask, the first one by default.
+        """
+        return (await self.operator(name).call('GET', 'state'))['routes']
+
+    async def wait_serving(self, count: int) -> dict:
+        """Waits until every node sees a number of copies serve.
+
+        Args:
+            count: Number of copies.
+        """
+
+        async def ready():
+            for name in self.nodes:
+                copies = await self.copies(name)
+                serving = [
+                    copy
+                    for copy in copies.values()
+                    if copy['verdict'] == 'serving'
+                ]
+                if len(serving) != count:
+                    return None
+            return copies
+
+        return await wait_for(ready, f'{count} copies serving')
+
+    async def order(self, key: str, body: str) -> tuple[int, str]:
+        """Sends an order to the ledger.
+
+        Args:
+            key: Idempotency key.
+            body: Order.
+
+        Returns:
+            Status and body of the answer.
+        """
+        node = next(iter(self.nodes.values()))
+        async with self.session.post(
+            f'http://{node.caller_address}/services/ledger/orders',
+            data=body,
+            headers={
+                'Authorization': f'Bearer {self.caller_key}',
+                'Idempotency-Key': key,
+            },
+        ) as resp:
+            return resp.status, await resp.text()
+
+    def runs(self) -> list[dict]:
+        """Returns every order that any instance of the ledger ran."""
+        return [run for item in self.ledgers.values() for run in item.runs]
+
+    async def stop(self) -> None:
+        """Ends nodes and stand-ins at once."""
+        for node in self.nodes.values():
+            await node.kill()
+        for engine in self.fleet.engines.values():
+            await engine.stop()
+        for ledger in self.ledgers.values():
+            await ledger.stop()
+        await self.platform.stop()
+
+
+async def wait_for(probe, what: str, within_s: float = STEP_TIMEOUT_S):
+    """Waits until a probe returns something true.
+
+    Args:
+        probe: Coroutine function to call again and again.
+        what: What is awaited, for the message.
+        within_s: Seconds to wait.
+
+    Returns:
+        What the probe returned.
+
+    Raises:
+        StepError: If it never did.
+    """
+    deadline = time.monotonic() + within_s
+    while time.monotonic() < deadline:
+        found = await probe()
+        if found:
+            return found
+        await asyncio.sleep(POLL_S)
+    raise StepError(f'not within {within_s:g} s: {what}', 'demo')
+
+
+def _say(text: str) -> None:
+    sys.stdout.write(text + '\n')
+    sys.stdout.flush()
+
+
+def _require(condition, what: str) -> None:
+    if not condition:
+        raise StepError(what, 'demo')
+
+
+class Demo:
+    """Steps of the demo.
+
+    Args:
+        world: Running world.
+        breach: Name of a breach to plant, empty for none.
+    """
+
+    def __init__(self, world: World, breach: str = ''):
+        self._world = world
+        self._breach = breach
+        self._started_at = time.monotonic()
+
+    def _step(self, text: str) -> None:
+        at = time.monotonic() - self._started_at
+        _say(f'[{at:6.2f} s] {text}')
+
+    async def run(self) -> bool:
+        """Runs all steps.
+
+        Returns:
+            Whether every promise was held.
+        """
+        world = self._world
+        found = await world.operator().call(
+            'POST', 'apply', {'objects': world.objects()}
+        )
+        self._step(
+            f'{len(found["changed"])} objects checked and published as '
+            f'revision {found["revision"]}'
+        )
+        copies = await world.wait_serving(2)
+        self._step(f'groups formed and serving: {", ".join(copies)}')
+        await self._ask()
+        await self._order()
+        await self._lose_member()
+        await self._drain()
+        if self._breach == 'half-group':
+            await self._plant_half_group()
+        return await self._evidence()
+
+    async def _ask(self) -> None:
+        body = {
+            'model': 'assistant',
+            'messages': [{'role': 'user', 'content': 'restock sleeves'}],
+            'max_tokens': 12,
+        }
+        answer = await self._world.caller().ask(body)
+        _require(answer.whole and answer.pieces == 12, 'answer not whole')
+        self._step(f'whole answer of {answer.pieces} pieces: {answer.text}')
+
+    async def _order(self) -> None:
+        first = await self._world.order('order-1', '{"sleeves": 10}')
+        second = await self._world.order('order-1', '{"sleeves": 10}')
+        if self._breach == 'double-run':
+            self._plant_double_run()
+        runs = self._world.runs()
+        self._step(
+            f'order sent twice with one key: answers {first[0]} and '
+            f'{second[0]}, equal: {first == second}, runs: {len(runs)}'
+        )
+        _require(first == second, 'the answers of one key differ')
+        _require(self._breach or len(runs) == 1, 'the order ran twice')
+
+    def _plant_double_run(self) -> None:
+        node = next(iter(self._world.nodes.values()))
+        for number in range(2):
+            node.recorder.record(
+                'send',
+                req=f'planted-{number}',
+                account='shops',
+                upstreams=['ledger-1'],
+                key='planted',
+            )
+
+    async def _plant_half_group(self) -> None:
+        node = next(iter(self._world.nodes.values()))
+        copies = await self._world.copies()
+        name, copy = next(iter(copies.items()))
+        node.recorder.record(
+            'send',
+            req='planted',
+            account='shops',
+            attempt='planted',
+            copy=name,
+            token=copy['token'] - 1,
+            upstreams=[],
+            oldest_ms=0,
+        )
+
+    async def _lose_member(self) -> None:
+        world = self._world
+        copies = await world.copies()
+        victim = sorted(copies)[0]
+        domain = victim.rpartition('-c')[0]
+        members = await self._members(victim)
+        engine = world.fleet.engines[members[1]]
+        died_at = time.monotonic()
+        await engine.die()
+        world.platform.vm_list.remove(engine.vm)
+        self._step(f'{engine.vm}, a member of {victim}, died')
+
+        async def stopped():
+            for name in world.nodes:
+                copies = await world.copies(name)
+                if copies[victim]['verdict'] == 'serving':
+                    return False
+            return True
+
+        await wait_for(stopped, 'the group stops')
+        self._step(
+            f'{victim} stopped after {time.monotonic() - died_at:.2f} s'
+        )
+        await self._ask()
+        await world.wait_serving(2)
+        self._step(
+            f"{victim} repaired with {domain}'s spare, serving again "
+            f'{time.monotonic() - died_at:.2f} s after the death'
+        )
+
+    async def _members(self, copy_id: str) -> list[str]:
+        for name in self._world.nodes:
+            state = await self._world.operator(name).call('GET', 'state')
+            for shard in state['control'].values():
+                if copy_id in shard['copies']:
+                    return shard['copies'][copy_id]['members']
+        raise StepError(f'nobody controls {copy_id}', 'demo')
+
+    async def _drain(self) -> None:
+        world = self._world
+        name = list(world.nodes)[-1]
+        node = world.nodes[name]
+        body = {
+            'model': 'assistant',
+            'messages': [{'role': 'user', 'content': 'castle'}],
+            'max_tokens': LONG_ANSWER,
+        }
+        caller = client.AskClient(
+            [node.caller_address], world.caller_key, world.session
+        )
+        caller.pin(node.caller_address)
+        pieces = []
+        task = asyncio.ensure_future(caller.ask(body, pieces.append))
+
+        async def streaming():
+            return len(pieces) > 5
+
+        await wait_for(streaming, 'a stream in progress')
+        self._step(f'{name} told to stop with a stream in progress')
+        stopping = asyncio.ensure_future(node.stop())
+        answer = await task
+        await stopping
+        del world.nodes[name]
+        _require(
+            answer.whole and not answer.resumes, 'the stop cut the stream'
+        )
+        self._step(
+            f'{name} stopped; its stream ended whole with '
+            f'{answer.pieces} pieces, resumed {answer.resumes} times'
+        )
+        entries = await world.caller().entries()
+        _require(
+            name not in [e['node'] for e in entries['entries']],
+            'the stopped node is still listed',
+        )
+
+    async def _evidence(self) -> bool:
+        for node in self._world.nodes.values():
+            await node.flush_evidence()
+        found = await self._world.operator().call('GET', 'evidence')
+        _say('')
+        _say(evidence_table(found['answers']))
+        return all(item['state'] == 'held' for item in found['answers'])
+
+
+def evidence_table(answers: list[dict]) -> str:
+    """Formats evidence answers as a table.
+
+    Args:
+        answers: Answers of the operator API.
+    """
+    rows = ['promise             answer      checked  breaches  gaps']
+    for item in answers:
+        rows.append(
+            f'{item["promise"]:<19} {item["state"]:<11} '
+            f'{item["checked"]:>7}  {len(item["records"]):>8}  '
+            f'{len(item["gaps"]):>4}'
+        )
+    return '\n'.join(rows)
+
+
+async def run(breach: str = '') -> bool:
+    """Runs the demo.
+
+    Args:
+        breach: Name of a breach to plant, empty for none.
+
+    Returns:
+        Whether every step came out and every promise was held.
+    """
+    world = World()
+    async with sessions.new_session() as session:
+        world.session = session
+        try:
+            await world.start()
+            _say(f'{len(world.nodes)} nodes and the stand-ins are up')
+            return await Demo(world, breach).run()
+        except errors.PlantainwayError as exc:
+            _say(f'failed: {exc}')
+            return False
+        finally:
+            with contextlib.suppress(errors.PlantainwayError):
+                await world.stop()
--- /dev/null
+++ b/plantainway/groups/_lease.py
@@ -0,0 +1,103 @@
+"""Leases over shards of control work.
+
+No clock is compared between VMs. The holder counts its deadline from just
+before it sent the renewal; an observer calls the lease lapsed once the row
+has stood unchanged for the whole term on its own clock.
+"""
+
+import dataclasses
+
+LEASE_TERM_S = 6.0
+RENEW_EVERY_S = 2.0
+HOLDER_MARGIN_S = 0.5  # the holder stops this long before observers may act
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """Row of a shard.
+
+    ``token`` grows with each change of holder, ``counter`` with each
+    renewal or control commit, ``next_copy`` numbers copies and their
+    fencing tokens, ``audits`` numbers audit rows. An empty ``holder`` means
+    that the lease was handed back.
+    """
+
+    shard: str
+    holder: str
+    incarnation: int
+    token: int
+    counter: int
+    next_copy: int
+    audits: int
+
+    def renewed(self) -> 'Lease':
+        """Returns the row as the holder's next write leaves it."""
+        return dataclasses.replace(self, counter=self.counter + 1)
+
+    def taken(self, holder: str, incarnation: int) -> 'Lease':
+        """Returns the row as a new holder writes it.
+
+        Args:
+            holder: Name of the new holder.
+            incarnation: Its incarnation.
+        """
+        return dataclasses.replace(
+            self,
+            holder=holder,
+            incarnation=incarnation,
+            token=self.token + 1,
+            counter=self.counter + 1,
+        )
+
+    def handed_back(self) -> 'Lease':
+        """Returns the row as a holder that gives up leaves it."""
+        return dataclasses.replace(self, holder='', counter=self.counter + 1)
+
+
+def new_lease(shard: str) -> Lease:
+    """Returns the row of a shard that nobody has held yet.
+
+    Args:
+        shard: Name of the shard.
+    """
+    return Lease(shard, '', 0, 0, 0, 1, 0)
+
+
+def holder_deadline(sent_at: float) -> float:
+    """Returns until when a holder may act.
+
+    Args:
+        sent_at: Monotonic seconds just before the renewal was sent.
+    """
+    return sent_at + LEASE_TERM_S - HOLDER_MARGIN_S
+
+
+class LeaseObserver:
+    """Decides from repeated readings whether a lease has lapsed."""
+
+    def __init__(self):
+        self._version = None
+        self._lapses_at = 0.0
+
+    def observe(self, version: int, holder: str, now: float) -> None:
+        """Takes in one reading of the row.
+
+        Args:
+            version: Version of the row.
+            holder: Holder that the row names, may be empty.
+            now: Monotonic seconds after the reading arrived.
+        """
+        if version != self._version:
+            self._version = version
+            self._lapses_at = now + LEASE_TERM_S if holder else now
+
+    def lapsed(self, now: float, patience_s: float = 0.0) -> bool:
+        """Tells whether the lease may be taken over.
+
+        Args:
+            now: Monotonic seconds.
+            patience_s: Further seconds to leave to better candidates.
+        """
+        return (
+            self._version is not None and now >= self._lapses_at + patience_s
+        )
--- /dev/null
+++ b/plantainway/groups/_shard.py
@@ -0,0 +1,405 @@
+"""Rows of one control shard in the table service.
+
+Every write of a shard checks its lease row at the version that the holder
+wrote last, and writes it anew. A former holder can therefore commit
+nothing, and a lost reply is settled by reading that one row back.
+"""
+
+import dataclasses
+import time
+
+from plantainway import errors
+from plantainway.groups import _lease
+from plantainway.groups import _state
+from plantainway import platform
+
+LEASE_PREFIX = 'shard/'
+COPY_PREFIX = 'copy/'
+VM_PREFIX = 'vm/'
+ALLOT_PREFIX = 'allot/'
+AUDIT_PREFIX = 'audit/'
+CopyState = _state.CopyState
+
+
+class ShardStore:
+    """One shard as its holder has it in memory and in the table.
+
+    Args:
+        shard: Name of the shard.
+        node: Name of the own node.
+        incarnation: Incarnation of the own node.
+        table: Table service.
+        clock: Source of monotonic time.
+        wall: Function that returns seconds since 1970, for audit rows.
+    """
+
+    def __init__(self, shard, node, incarnation, table, clock, wall=time.time):
+        self.shard = shard
+        self.observer = _lease.LeaseObserver()
+        self.lease: _lease.Lease | None = None
+        self.deadline = 0.0
+        self.copies: dict[str, _state.Copy] = {}
+        self.holds: dict[str, _state.Hold] = {}
+        self._node = node
+        self._incarnation = incarnation
+        self._table = table
+        self._clock = clock
+        self._wall = wall
+        self._row: platform.Row | None = None
+
+    @property
+    def held(self) -> bool:
+        """Tells whether this node may act for the shard now."""
+        return self.lease is not None and self._clock.now() < self.deadline
+
+    @property
+    def token(self) -> int:
+        """Returns the fencing token of the lease, 0 if it is not held."""
+        return self.lease.token if self.lease else 0
+
+    def check(self) -> None:
+        """Makes sure that the lease is still held.
+
+        Call it after every await that precedes an irreversible step.
+
+        Raises:
+            LeaseLostError: If the deadline has passed.
+        """
+        if not self.held:
+            self.lease = None
+            raise errors.LeaseLostError('deadline passed', 'lease', self.shard)
+
+    async def observe(self) -> None:
+        """Reads the lease row of a shard that is not held.
+
+        Raises:
+            StoreUnavailableError: If the table gave no answer.
+        """
+        row = await self._table.read(LEASE_PREFIX + self.shard)
+        self._row = row
+        self.observer.observe(
+            row.version if row else platform.ABSENT,
+            row.value['holder'] if row else '',
+            self._clock.now(),
+        )
+
+    async def take(self) -> bool:
+        """Takes the lease over and reads the rows of the shard.
+
+        Returns:
+            Whether the lease is held now.
+
+        Raises:
+            StoreUnavailableError: If the table gave no answer.
+        """
+        row = self._row
+        lease = (
+            _lease.Lease(**row.value) if row else _lease.new_lease(self.shard)
+        )
+        sent_at = self._clock.now()
+        self.lease = lease.taken(self._node, self._incarnation)
+        self.deadline = _lease.holder_deadline(sent_at)
+        try:
+            await self._commit(self.lease, (), ())
+            await self._load()
+        except errors.PlantainwayError:
+            self.lease = None
+            raise
+        return self.held
+
+    async def renew(self) -> None:
+        """Renews the lease.
+
+        Raises:
+            LeaseLostError: If it is held no more.
+            StoreUnavailableError: If the table gave no answer.
+        """
+        await self._commit(self.lease.renewed(), (), ())
+
+    async def hand_back(self) -> None:
+        """Gives the lease back, so that another node takes it at once."""
+        lease, self.lease = self.lease, None
+        if lease is None or self._row is None:
+            return
+        key = LEASE_PREFIX + self.shard
+        await self._table.commit(
+            platform.Transaction(
+                platform.new_txn_id(),
+                (platform.Check(key, self._row.version),),
+                (
+                    platform.Write(
+                        key, dataclasses.asdict(lease.handed_back())
+                    ),
+                ),
+            )
+        )
+
+    async def _load(self) -> None:
+        copies = await self._table.scan(f'{COPY_PREFIX}{self.shard}/')
+        holds = await self._table.scan(VM_PREFIX)
+        self.copies = {}
+        for row in copies:
+            value = dict(row.value)
+            value['state'] = CopyState(value['state'])
+            value['members'] = tuple(
+                _state.Member(vm, boot) for vm, boot in value['members']
+            )
+            copy = _state.Copy(**value, row_version=row.version)
+            self.copies[copy.copy_id] = copy
+        self.holds = {
+            row.value['vm']: _state.Hold(**row.value, row_version=row.version)
+            for row in holds
+            if row.value['shard'] == self.shard
+        }
+
+    async def allotted(self) -> dict[str, int]:
+        """Returns how many copies of each group this shard should have.
+
+        Raises:
+            StoreUnavailableError: If the table gave no answer.
+        """
+        row = await self._table.read(ALLOT_PREFIX + self.shard)
+        return row.value['copies'] if row else {}
+
+    async def write_allotment(self, domains: dict) -> None:
+        """Writes what every fabric domain should have.
+
+        Args:
+            domains: By domain, the number of copies of each group.
+
+        Raises:
+            LeaseLostError: If the lease is held no more.
+            StoreUnavailableError: If the table gave no answer.
+        """
+        writes = tuple(
+            platform.Write(ALLOT_PREFIX + domain, {'copies': copies})
+            for domain, copies in sorted(domains.items())
+        )
+        await self._commit(self.lease.renewed(), (), writes)
+
+    async def add_vm(self, vm: str) -> bool:
+        """Creates the row of a VM that no shard has.
+
+        Args:
+            vm: Name of the VM.
+
+        Returns:
+            Whether the row now belongs to this shard.
+        """
+        hold = _state.Hold(vm, self.shard)
+        try:
+            await self._write([], [hold], {'kind': 'add_vm'})
+        except errors.ConflictError:
+            return False
+        return True
+
+    async def drop_vm(self, vm: str) -> None:
+        """Deletes the row of a free VM that left the fabric domain.
+
+        Args:
+            vm: Name of the VM.
+        """
+        hold = self.holds[vm]
+        await self._commit(
+            self.lease.renewed(),
+            (platform.Check(VM_PREFIX + vm, hold.row_version),),
+            (platform.Write(VM_PREFIX + vm, None),),
+        )
+        del self.holds[vm]
+
+    async def apply(self, action) -> None:
+        """Carries one planned action out in one transaction.
+
+        Args:
+            action: Form, Reform, MarkServing, Drain, Dissolve or Free.
+
+        Raises:
+            LeaseLostError: If the lease is held no more.
+            ConflictError: If a row was changed by another shard.
+            StoreUnavailableError: If the table gave no answer.
+        """
+        copies, holds = _APPLY[type(action)](self, action)
+        if not copies and not holds:
+            return
+        audit = {
+            'kind': type(action).__name__.lower(),
+            'reason': getattr(action, 'reason', ''),
+        }
+        await self._write(copies, holds, audit)
+
+    def _form(self, action) -> tuple:
+        number = self.lease.next_copy
+        copy = _state.Copy(
+            f'{self.shard}-c{number}',
+            action.spec.name,
+            self.shard,
+            action.spec.version,
+            number,
+            CopyState.LOADING,
+            tuple(_state.Member(vm) for vm in action.vms),
+        )
+        return [copy], [self._claimed(vm, copy) for vm in action.vms]
+
+    def _reform(self, action) -> tuple:
+        old = self.copies[action.copy.copy_id]
+        copy = dataclasses.replace(
+            old,
+            version=action.spec.version,
+            token=self.lease.next_copy,
+            state=CopyState.LOADING,
+            members=tuple(_state.Member(vm) for vm in action.vms),
+        )
+        holds = [self._claimed(vm, copy) for vm in action.vms]
+        holds += [
+            self._releasing(vm) for vm in old.vms if vm not in action.vms
+        ]
+        return [copy], holds
+
+    def _mark_serving(self, action) -> tuple:
+        old = self.copies[action.copy.copy_id]
+        members = tuple(
+            _state.Member(member.vm, boot)
+            for member, boot in zip(old.members, action.boots, strict=True)
+        )
+        copy = dataclasses.replace(
+            old, state=CopyState.SERVING, members=members
+        )
+        holds = [
+            dataclasses.replace(self.holds[member.vm], boot=member.boot)
+            for member in members
+        ]
+        return [copy], holds
+
+    def _drain(self, action) -> tuple:
+        old = self.copies[action.copy.copy_id]
+        return [dataclasses.replace(old, state=CopyState.DRAINING)], []
+
+    def _dissolve(self, action) -> tuple:
+        old = self.copies[action.copy.copy_id]
+        gone = dataclasses.replace(old, members=())
+        return [gone], [self._releasing(vm) for vm in old.vms]
+
+    def _free(self, action) -> tuple:
+        hold = self.holds[action.vm]
+        return [], [
+            dataclasses.replace(
+                hold, copy_id='', releasing=False, boot=action.boot
+            )
+        ]
+
+    def _claimed(self, vm: str, copy) -> _state.Hold:
+        hold = self.holds[vm]
+        if not hold.free and hold.copy_id != copy.copy_id:
+            raise errors.ConflictError([f'vm/{vm}'], 'claim')
+        return dataclasses.replace(
+            hold, copy_id=copy.copy_id, token=copy.token, releasing=False
+        )
+
+    def _releasing(self, vm: str) -> _state.Hold:
+        return dataclasses.replace(self.holds[vm], copy_id='', releasing=True)
+
+    async def _write(self, copies, holds, audit) -> None:
+        before = self.lease
+        new_token = any(copy.token >= before.next_copy for copy in copies)
+        lease = dataclasses.replace(
+            before.renewed(),
+            next_copy=before.next_copy + int(new_token),
+            audits=before.audits + 1,
+        )
+        checks = [
+            platform.Check(VM_PREFIX + hold.vm, hold.row_version)
+            for hold in holds
+        ]
+        writes = [
+            platform.Write(VM_PREFIX + hold.vm, _hold_value(hold))
+            for hold in holds
+        ]
+        for copy in copies:
+            checks.append(
+                platform.Check(self._copy_key(copy), copy.row_version)
+            )
+            value = _copy_value(copy) if copy.members else None
+            writes.append(platform.Write(self._copy_key(copy), value))
+        audit = audit | {
+            'copies': [_copy_value(copy) for copy in copies],
+            'holds': [_hold_value(hold) for hold in holds],
+            'node': self._node,
+            'token': lease.token,
+            'wall': round(self._wall(), 3),
+        }
+        writes.append(
+            platform.Write(
+                f'{AUDIT_PREFIX}{self.shard}/{lease.audits:012d}', audit
+            )
+        )
+        version = await self._commit(lease, tuple(checks), tuple(writes))
+        for copy in copies:
+            if copy.members:
+                self.copies[copy.copy_id] = dataclasses.replace(
+                    copy, row_version=version
+                )
+            else:
+                del self.copies[copy.copy_id]
+        for hold in holds:
+            self.holds[hold.vm] = dataclasses.replace(
+                hold, row_version=version
+            )
+
+    def _copy_key(self, copy) -> str:
+        return f'{COPY_PREFIX}{self.shard}/{copy.copy_id}'
+
+    async def _commit(self, lease, checks, writes) -> int:
+        self.check()
+        key = LEASE_PREFIX + self.shard
+        sent_at = self._clock.now()
+        before = self._row.version if self._row else platform.ABSENT
+        txn = platform.Transaction(
+            platform.new_txn_id(),
+            (platform.Check(key, before), *checks),
+            (platform.Write(key, dataclasses.asdict(lease)), *writes),
+        )
+        result = await platform.commit_settled(
+            self._table, txn, key, self._clock, self.deadline
+        )
+        if result.outcome is platform.Outcome.COMMITTED:
+            self.lease = lease
+            self.deadline = _lease.holder_deadline(sent_at)
+            self._row = platform.Row(
+                key, dataclasses.asdict(lease), result.version, txn.txn_id
+            )
+            return result.version
+        if result.outcome is platform.Outcome.UNKNOWN:
+            self.lease = None
+            raise errors.LeaseLostError(result.reason, 'commit', self.shard)
+        if result.reason != 'conflict':
+            raise errors.StoreUnavailableError(
+                result.reason, 'commit', self.shard
+            )
+        if key in result.conflicts:
+            self.lease = None
+            raise errors.LeaseLostError('another holder', 'commit', self.shard)
+        raise errors.ConflictError(list(result.conflicts), 'commit')
+
+
+def _copy_value(copy) -> dict:
+    value = dataclasses.asdict(copy)
+    del value['row_version']
+    value['state'] = str(copy.state)
+    value['members'] = [[item.vm, item.boot] for item in copy.members]
+    return value
+
+
+def _hold_value(hold) -> dict:
+    value = dataclasses.asdict(hold)
+    del value['row_version']
+    return value
+
+
+_APPLY = {
+    _state.Form: ShardStore._form,
+    _state.Reform: ShardStore._reform,
+    _state.MarkServing: ShardStore._mark_serving,
+    _state.Drain: ShardStore._drain,
+    _state.Dissolve: ShardStore._dissolve,
+    _state.Free: ShardStore._free,
+}
--- /dev/null
+++ b/plantainway/platform/_http.py
@@ -0,0 +1,199 @@
+"""HTTP clients of the platform's services."""
+
+import urllib.parse
+
+import aiohttp
+
+from plantainway import errors
+from plantainway.platform import _stores
+from plantainway.platform import _table
+
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+_HTTP_UNAVAILABLE = 503
+# Failures after which part of the request may have been sent.
+_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+class _HttpBase:
+    def __init__(self, base_url: str, session: aiohttp.ClientSession):
+        self._base = base_url
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+
+    async def _get_json(self, path: str, step: str, **params):
+        try:
+            async with self._session.get(
+                self._base + path, params=params, timeout=self._timeout
+            ) as resp:
+                if resp.status == _HTTP_OK:
+                    return await resp.json()
+                if resp.status == _HTTP_NOT_FOUND:
+                    raise errors.NotFoundError(path, step, self._base)
+                raise errors.StoreUnavailableError(
+                    f'status {resp.status}', step, self._base
+                )
+        except _CALL_ERRORS as exc:
+            raise errors.StoreUnavailableError(repr(exc), step, self._base)
+
+
+class HttpTable(_HttpBase, _table.BaseTable):
+    """Table service over HTTP, as docs/design/interfaces.md assumes it.
+
+    Args:
+        base_url: Address of the service.
+        session: Client session to use.
+    """
+
+    async def read(self, key: str) -> _table.Row | None:
+        """Reads a row; see the base class."""
+        try:
+            found = await self._get_json('/rows', 'table_read', key=key)
+        except errors.NotFoundError:
+            return None
+        return _row(found)
+
+    async def scan(self, prefix: str) -> list[_table.Row]:
+        """Lists rows; see the base class."""
+        found = await self._get_json('/scan', 'table_scan', prefix=prefix)
+        return [_row(item) for item in found['rows']]
+
+    async def commit(self, txn: _table.Transaction) -> _table.CommitResult:
+        """Applies a transaction; see the base class."""
+        body = {
+            'txn': txn.txn_id,
+            'checks': [[c.key, c.version] for c in txn.checks],
+            'writes': [[w.key, w.value] for w in txn.writes],
+        }
+        outcome = _table.Outcome
+        try:
+            async with self._session.post(
+                self._base + '/commit', json=body, timeout=self._timeout
+            ) as resp:
+                if resp.status == _HTTP_OK:
+                    found = await resp.json()
+                    return _table.CommitResult(
+                        outcome.COMMITTED, version=found['version']
+                    )
+                if resp.status == _HTTP_CONFLICT:
+                    found = await resp.json()
+                    return _table.CommitResult(
+                        outcome.NOT_COMMITTED,
+                        'conflict',
+                        tuple(found['conflicts']),
+                    )
+                if resp.status == _HTTP_UNAVAILABLE:
+                    return _table.CommitResult(
+                        outcome.NOT_COMMITTED, 'unavailable'
+                    )
+                return _table.CommitResult(
+                    outcome.UNKNOWN, f'status {resp.status}'
+                )
+        except aiohttp.ClientConnectorError as exc:
+            return _table.CommitResult(outcome.NOT_COMMITTED, repr(exc))
+        except _CALL_ERRORS as exc:
+            return _table.CommitResult(outcome.UNKNOWN, repr(exc))
+
+
+def _row(item: dict) -> _table.Row:
+    return _table.Row(item['key'], item['value'], item['version'], item['txn'])
+
+
+class HttpObjectStore(_HttpBase, _stores.BaseObjectStore):
+    """Object store over HTTP.
+
+    Args:
+        base_url: Address of the service.
+        session: Client session to use.
+    """
+
+    async def put(self, name: str, body: bytes) -> _stores.PutOutcome:
+        """Stores a blob; see the base class."""
+        outcome = _stores.PutOutcome
+        try:
+            async with self._session.put(
+                f'{self._base}/objects/{urllib.parse.quote(name)}',
+                data=body,
+                headers={'If-None-Match': '*'},
+                timeout=self._timeout,
+            ) as resp:
+                if resp.status == _HTTP_OK:
+                    return outcome.STORED
+                if resp.status == _HTTP_CONFLICT:
+                    return outcome.EXISTS
+                if resp.status == _HTTP_UNAVAILABLE:
+                    return outcome.NOT_STORED
+                return outcome.UNKNOWN
+        except aiohttp.ClientConnectorError:
+            return outcome.NOT_STORED
+        except _CALL_ERRORS:
+            return outcome.UNKNOWN
+
+    async def get(self, name: str) -> bytes:
+        """Returns a blob; see the base class."""
+        step = 'object_get'
+        try:
+            async with self._session.get(
+                f'{self._base}/objects/{urllib.parse.quote(name)}',
+                timeout=self._timeout,
+            ) as resp:
+                if resp.status == _HTTP_OK:
+                    return await resp.read()
+                if resp.status == _HTTP_NOT_FOUND:
+                    raise errors.NotFoundError(name, step, self._base)
+                raise errors.StoreUnavailableError(
+                    f'status {resp.status}', step, self._base
+                )
+        except _CALL_ERRORS as exc:
+            raise errors.StoreUnavailableError(repr(exc), step, self._base)
+
+    async def names(self, prefix: str) -> list[str]:
+        """Lists names; see the base class."""
+        found = await self._get_json('/names', 'object_names', prefix=prefix)
+        return found['names']
+
+
+class HttpVmList(_HttpBase, _stores.BaseVmList):
+    """VM list over HTTP.
+
+    Args:
+        base_url: Address of the service.
+        session: Client session to use.
+    """
+
+    async def read(self) -> list[_stores.VmEntry]:
+        """Returns the list; see the base class."""
+        found = await self._get_json('/vms', 'vm_list')
+        return [
+            _stores.VmEntry(
+                item['name'],
+                item['address'],
+                item['place'],
+                item['fabric_domain'],
+                item['leaving'],
+            )
+            for item in found['vms']
+        ]
+
+
+class HttpWeightStore(_HttpBase, _stores.BaseWeightStore):
+    """Weight store over HTTP.
+
+    Args:
+        base_url: Address of the service.
+        session: Client session to use.
+    """
+
+    async def describe(self, weights: str) -> _stores.WeightInfo:
+        """Returns size and rate; see the base class."""
+        found = await self._get_json(
+            f'/weights/{urllib.parse.quote(weights)}', 'weights_describe'
+        )
+        return _stores.WeightInfo(
+            weights, found['size_bytes'], found['rate_bytes_per_second']
+        )
--- /dev/null
+++ b/plantainway/requests/_view.py
@@ -0,0 +1,276 @@
+"""What routing knows: revision, copies, sightings, load."""
+
+import collections
+
+from plantainway import bus
+from plantainway import groups
+from plantainway.requests import _routing
+
+QUEUE_PER_SLOT = 1.0  # requests waiting per slot before refusing
+
+
+class RouteView:
+    """Targets that may get new work now.
+
+    Args:
+        cfg: Settings of the node.
+        parts: Shared parts of the node.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, cfg, parts, rng):
+        self._cfg = cfg
+        self._parts = parts
+        self._rng = rng
+        self._inbox = parts.bus.subscribe(
+            bus.RevisionInForce,
+            bus.VmListRead,
+            bus.ReportArrived,
+            bus.LoadsSeen,
+        )
+        self._objects = None
+        self._vm_list = {}
+        self._noted_vms: dict[str, tuple] = {}
+        self._noted_copies: dict[str, tuple] = {}
+        self._leaving: set[str] = set()
+        self._sent_since: collections.Counter = collections.Counter()
+        self._loads: dict[str, list[int]] = {}
+        self.health = _routing.InstanceHealth()
+        self.on_revision = []
+
+    async def run(self) -> None:
+        """Takes in messages until cancelled."""
+        while True:
+            self._take_in(await self._inbox.get())
+
+    @property
+    def objects(self):
+        """Returns the declared objects in force, ``None`` before any."""
+        return self._objects
+
+    def _take_in(self, message) -> None:
+        if isinstance(message, bus.RevisionInForce):
+            self._objects = message.revision.objects
+            for hook in self.on_revision:
+                hook(self._objects)
+        elif isinstance(message, bus.VmListRead):
+            self._vm_list = message.entries
+        elif isinstance(message, bus.LoadsSeen):
+            self._loads = message.loads
+            self._sent_since.clear()
+            return
+        else:
+            self._parts.board.index(message.report)
+            self._parts.copies.add_report(message.report)
+            for vm in message.report.seen:
+                self._note_vm(vm, self._parts.board.sighting(vm))
+        self._note_leaving()
+
+    def _note_leaving(self) -> None:
+        if self._objects is None:
+            return
+        declared = self._objects.of('upstream')
+        leaving = {
+            name for name, item in self._vm_list.items() if item.leaving
+        }
+        leaving |= {vm for vm, noted in self._noted_vms.items() if noted[5]}
+        leaving |= self._known_upstreams() - set(declared)
+        for name in leaving - self._leaving:
+            self._parts.evidence.record('leaving', upstream=name)
+        for name in self._leaving - leaving:
+            self._parts.evidence.record('staying', upstream=name)
+        self._leaving = leaving
+
+    def _known_upstreams(self) -> set[str]:
+        return set(self._noted_vms)
+
+    def _note_vm(self, vm: str, sighting) -> None:
+        if sighting is None:
+            noted = (False, '', '', 0, '', False)
+        else:
+            seen = sighting.seen
+            noted = (
+                seen.ok,
+                seen.boot,
+                seen.copy_id,
+                seen.token,
+                seen.role,
+                seen.leaving,
+            )
+        if self._noted_vms.get(vm) == noted:
+            return
+        self._noted_vms[vm] = noted
+        self._parts.evidence.record(
+            'vm_view',
+            vm=vm,
+            ok=noted[0],
+            boot=noted[1],
+            copy=noted[2],
+            token=noted[3],
+            role=noted[4],
+        )
+
+    def _note_copy(self, copy) -> None:
+        noted = (copy.token, copy.state, copy.row_version)
+        if self._noted_copies.get(copy.copy_id) == noted:
+            return
+        self._noted_copies[copy.copy_id] = noted
+        self._parts.evidence.record(
+            'copy_view',
+            copy=copy.copy_id,
+            token=copy.token,
+            state=copy.state,
+            members=copy.members,
+        )
+
+    def verdict(self, copy) -> groups.Verdict:
+        """Decides whether a copy may get new work, noting what was seen.
+
+        Args:
+            copy: The copy.
+
+        Returns:
+            The verdict.
+        """
+
+        def sighting_of(vm):
+            sighting = self._parts.board.sighting(vm)
+            self._note_vm(vm, sighting)
+            return sighting
+
+        self._note_copy(copy)
+        verdict = groups.may_send(copy, sighting_of)
+        if verdict.allowed:
+            for vm, _boot in copy.members:
+                entry = self._vm_list.get(vm)
+                if entry is not None and entry.leaving:
+                    return groups.Verdict(False, f'leaving {vm}')
+        return verdict
+
+    def copies_of(self, model: str) -> list:
+        """Returns the copies of a model, whether they may serve or not.
+
+        Args:
+            model: Name of the model.
+        """
+        objects = self._objects
+        versions = {
+            name
+            for name, item in objects.of('model_version').items()
+            if item.model == model
+        }
+        return [
+            copy
+            for _shard, copy in self._parts.copies.all()
+            if copy.version in versions
+            and objects.get('replica_group', copy.group) is not None
+        ]
+
+    def candidates(self, model: str, excluded) -> tuple[list, bool]:
+        """Returns the copies that may get a request now.
+
+        Args:
+            model: Name of the model.
+            excluded: Copies that already failed the request.
+
+        Returns:
+            Candidates, and whether some serve but are all overloaded.
+        """
+        found = []
+        busy = False
+        for copy in self.copies_of(model):
+            if copy.copy_id in excluded or not self.verdict(copy).allowed:
+                continue
+            load = self.load(copy)
+            if load >= 1.0 + QUEUE_PER_SLOT:
+                busy = True
+                continue
+            found.append(
+                _routing.Candidate(
+                    copy.copy_id, load, self.distance(copy.members[0][0])
+                )
+            )
+        return found, busy
+
+    def load(self, copy) -> float:
+        """Returns requests per slot: reported, and sent since then.
+
+        Args:
+            copy: The copy.
+        """
+        head = copy.members[0][0]
+        sighting = self._parts.board.sighting(head)
+        slots = sighting.seen.slots if sighting else 0
+        reported = self._loads.get(head) or (
+            self._parts.peers.remote_loads.get(head, [0, 0])
+        )
+        return (sum(reported) + self._sent_since[head]) / max(slots, 1)
+
+    def note_sent(self, head: str) -> None:
+        """Counts a request that was sent since the last load report.
+
+        Args:
+            head: Head VM of the copy.
+        """
+        self._sent_since[head] += 1
+
+    def distance(self, upstream: str) -> int:
+        """Returns 0 in the own place, 1 in the own region, 2 beyond.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        item = self._objects.get('upstream', upstream)
+        if item is None:
+            return 2
+        if item.place == self._cfg.place:
+            return 0
+        place = self._objects.get('place', item.place)
+        return 1 if place and place.region == self._cfg.region else 2
+
+    def instances(self, service: str) -> list:
+        """Returns the instances of a service that may get new work.
+
+        Args:
+            service: Name of the service.
+        """
+        return [
+            item
+            for name, item in self._objects.of('upstream').items()
+            if item.service == service and not self._is_leaving(name)
+        ]
+
+    def knows_service(self, service: str) -> bool:
+        """Tells whether a service is declared.
+
+        Args:
+            service: Name of the service.
+        """
+        return any(
+            item.service == service
+            for item in self._objects.of('upstream').values()
+        )
+
+    def _is_leaving(self, name: str) -> bool:
+        entry = self._vm_list.get(name)
+        return entry is not None and entry.leaving
+
+    def choose(self, candidates):
+        """Chooses one of several candidates.
+
+        Args:
+            candidates: Targets that may get the request.
+        """
+        return _routing.choose(candidates, self._rng)
+
+    def dump(self) -> dict:
+        """Returns the state for the state dump."""
+        return {
+            copy.copy_id: {
+                'state': copy.state,
+                'token': copy.token,
+                'verdict': self.verdict(copy).reason,
+                'load': self.load(copy),
+            }
+            for _shard, copy in self._parts.copies.all()
+        }
--- /dev/null
+++ b/plantainway/standins/__init__.py
@@ -0,0 +1,11 @@
+"""Small stand-ins of the systems that a node meets; for demo and tests."""
+
+from plantainway.standins._engine import EngineStandIn
+from plantainway.standins._engine import Fleet
+from plantainway.standins._faults import Faults
+from plantainway.standins._platform import MemoryObjectStore
+from plantainway.standins._platform import MemoryVmList
+from plantainway.standins._platform import MemoryWeightStore
+from plantainway.standins._platform import PlatformStandIn
+from plantainway.standins._service import ServiceStandIn
+from plantainway.standins._table import MemoryTable
--- /dev/null
+++ b/plantainway/standins/_engine.py
@@ -0,0 +1,471 @@
+"""A model engine that answers with words made from the prompt."""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import random
+import time
+import uuid
+
+from aiohttp import web
+
+from plantainway.standins import _faults
+from plantainway.standins import _server
+
+WORDS = (
+    'sleeves', 'cards', 'boxes', 'castle', 'tower', 'gate', 'fold', 'glue',
+    'order', 'stock', 'shelf', 'count', 'sheet', 'wall', 'window', 'roof',
+)  # fmt: skip
+TOKENS_DEFAULT = 16
+RESUME_KEPT_S = 30.0
+_MS = 1000
+
+
+def answer_words(messages, count: int) -> list[str]:
+    """Returns the whole answer to a prompt; the same for every engine.
+
+    Args:
+        messages: Messages of the request.
+        count: Number of words.
+    """
+    seed = hashlib.blake2b(json.dumps(messages).encode()).digest()
+    rng = random.Random(seed)
+    return [rng.choice(WORDS) + ' ' for _ in range(count)]
+
+
+class Fleet:
+    """All engine stand-ins of a process; members see one another here.
+
+    Args:
+        weights: Weight store stand-in that loads go through.
+    """
+
+    def __init__(self, weights=None):
+        self.weights = weights
+        self.engines: dict[str, EngineStandIn] = {}
+
+    def members_ok(self, copy_id: str, token: int, vms) -> bool:
+        """Tells whether all members of a copy run with its token.
+
+        Args:
+            copy_id: Name of the copy.
+            token: Its fencing token.
+            vms: Names of the members.
+        """
+        for vm in vms:
+            engine = self.engines.get(vm)
+            if engine is None or not engine.up or engine.paused:
+                return False
+            if (engine.copy_id, engine.token) != (copy_id, token):
+                return False
+        return True
+
+
+class _Attempt:
+    def __init__(self, attempt, caller, body, deadline, start):
+        self.attempt = attempt
+        self.caller = caller
+        self.deadline = deadline
+        self.start = start
+        count = body.get('max_tokens', TOKENS_DEFAULT)
+        self.words = answer_words(body.get('messages'), count)
+        self.made = start
+        self.ended = False
+        self.broken = False
+        self.changed = asyncio.Event()
+
+    def wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class EngineStandIn:
+    """One engine on one VM.
+
+    Args:
+        vm: Name of the VM.
+        fleet: Fleet to join.
+        host: Address to listen on.
+        port: Port, 0 for a free one.
+        checks_fencing: Whether orders with old tokens are refused.
+        slots: Requests that run at once.
+        token_s: Seconds from one token to the next.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        fleet: Fleet,
+        host: str = '127.0.0.1',
+        port: int = 0,
+        checks_fencing: bool = True,
+        slots: int = 8,
+        token_s: float = 0.01,
+    ):
+        self.vm = vm
+        self.faults = _faults.Faults()
+        self.checks_fencing = checks_fencing
+        self.slots = slots
+        self.token_s = token_s
+        self.up = False
+        self.paused = False
+        self.leaving = False
+        self.chats: list[dict] = []
+        self.orders: list[dict] = []
+        self.cache_gap = 0.0
+        self.server = _server.Server(self._app, host, port)
+        self._fleet = fleet
+        fleet.engines[vm] = self
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+        self._rng = random.Random(vm)
+        self._reset()
+
+    def _reset(self) -> None:
+        self.boot = uuid.uuid4().hex[:12]
+        self.copy_id = ''
+        self.token = 0
+        self.role = 'idle'
+        self.version = ''
+        self.members = []
+        self._weights = ('', -1)
+        self._floor = 0  # no load with this or an older token is taken
+        self._running = 0
+        self._waiting: list = []
+        self._attempts: dict[str, _Attempt] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._load_shown = (0.0, 0, 0)
+        self._cache_events: list[tuple] = []
+        self._cache_number = 0
+
+    async def start(self) -> None:
+        """Listens."""
+        await self.server.start()
+        self.up = True
+
+    async def die(self) -> None:
+        """Dies: connections break, all state is lost."""
+        self.up = False
+        for task in list(self._tasks):
+            task.cancel()
+        for attempt in self._attempts.values():
+            attempt.broken = True
+            attempt.wake()
+        await self.server.stop()
+
+    async def reboot(self) -> None:
+        """Starts again with a new boot id and no role."""
+        if self.up:
+            await self.die()
+        self._reset()
+        await self.start()
+
+    async def cut(self) -> None:
+        """Becomes unreachable but keeps its state."""
+        self.up = False
+        await self.server.stop()
+
+    async def mend(self) -> None:
+        """Becomes reachable again with the same boot id."""
+        await self.start()
+
+    def pause(self) -> None:
+        """Stops answering; requests hang."""
+        self.paused = True
+        self._resumed.clear()
+
+    def unpause(self) -> None:
+        """Answers again."""
+        self.paused = False
+        self._resumed.set()
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        self.unpause()
+        await self.die()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _app(self) -> web.Application:
+        app = _server.new_app()
+        app.middlewares.append(self._pause_middleware)
+        app.router.add_get('/state', self._state)
+        app.router.add_post('/v1/chat/completions', self._chat)
+        app.router.add_post('/orders/load', self._load)
+        app.router.add_post('/orders/unload', self._unload)
+        app.router.add_post('/orders/drain', self._drain)
+        app.router.add_post('/orders/resume', self._resume)
+        app.router.add_post('/orders/cancel', self._cancel)
+        app.router.add_get('/cache-events', self._list_cache_events)
+        app.router.add_post('/faults', self._set_faults)
+        return app
+
+    @web.middleware
+    async def _pause_middleware(self, request, handler):
+        await self._resumed.wait()
+        await self.faults.delay()
+        return await handler(request)
+
+    def _loads(self) -> tuple[int, int]:
+        now = time.monotonic()
+        at, running, waiting = self._load_shown
+        if now - at >= self.faults.lag_s:
+            running, waiting = self._running, len(self._waiting)
+            self._load_shown = (now, running, waiting)
+        return running, waiting
+
+    async def _state(self, request):
+        running, waiting = self._loads()
+        return web.json_response(
+            {
+                'vm': self.vm,
+                'boot': self.boot,
+                'copy_id': self.copy_id,
+                'token': self.token,
+                'role': self.role,
+                'version': self.version,
+                'running': running,
+                'waiting': waiting,
+                'slots': self.slots,
+                'leaving': self.leaving,
+            }
+        )
+
+    async def _load(self, request):
+        order = await request.json()
+        self.orders.append({'name': 'load', **order})
+        token = order['token']
+        if self.checks_fencing and token <= self._floor:
+            return self._refused()
+        same = (self.copy_id, self.token) == (order['copy_id'], token)
+        if not same:
+            if self.checks_fencing and token < self.token:
+                return self._refused()
+            self.copy_id = order['copy_id']
+            self.token = token
+            self.members = [vm for vm, _address in order['members']]
+            self.version = order['version']
+            self.role = 'loading'
+            self._break_attempts()
+            self._spawn(self._do_load(order))
+        if self.faults.take_lost_reply():
+            _server.abort(request)
+        return web.json_response({'accepted': True})
+
+    async def _do_load(self, order) -> None:
+        token = order['token']
+        wanted = (order['weights'], order['rank'])
+        weights = self._fleet.weights
+        if self._weights != wanted and weights is not None:
+            size = weights.sizes.get(order['weights'], 0)
+            await weights.transfer(size // max(len(self.members), 1))
+        self._weights = wanted
+        if self.token == token and self.role == 'loading':
+            self.role = 'ready'
+
+    def _refused(self):
+        return web.json_response(
+            {'code': 'fenced', 'token': max(self.token, self._floor)},
+            status=409,
+        )
+
+    async def _unload(self, request):
+        order = await request.json()
+        self.orders.append({'name': 'unload', **order})
+        if self.checks_fencing and order['token'] < self.token:
+            return self._refused()
+        self._floor = max(self._floor, order['token'], self.token)
+        self._break_attempts()
+        self.copy_id, self.token, self.role = '', 0, 'idle'
+        self.members = []
+        return web.json_response({'accepted': True})
+
+    async def _drain(self, request):
+        order = await request.json()
+        self.orders.append({'name': 'drain', **order})
+        if (self.copy_id, self.token) != (order['copy_id'], order['token']):
+            return self._refused()
+        self.role = 'draining'
+        self._check_drained()
+        return web.json_response({'accepted': True})
+
+    def _check_drained(self) -> None:
+        if self.role == 'draining' and not self._running:
+            if not self._waiting:
+                self.role = 'drained'
+
+    def _break_attempts(self) -> None:
+        for attempt in self._attempts.values():
+            if not attempt.ended:
+                attempt.broken = True
+                attempt.wake()
+
+    async def _cancel(self, request):
+        order = await request.json()
+        attempt = self._attempts.get(order['attempt'])
+        if attempt is not None and not attempt.ended:
+            attempt.broken = True
+            attempt.wake()
+        return web.json_response({'accepted': True})
+
+    async def _chat(self, request):
+        body = await request.json()
+        headers = request.headers
+        copy_id = headers.get('X-Replica', '')
+        token = int(headers.get('X-Fencing-Token', '0'))
+        if self.checks_fencing and copy_id:
+            if (copy_id, token) != (self.copy_id, self.token):
+                return self._refused()
+        if self.role != 'ready' and copy_id:
+            raise web.HTTPServiceUnavailable
+        left_s = int(headers.get('X-Deadline-Ms', '600000')) / _MS
+        start = body.get('continue_from', {}).get('position', 0)
+        attempt = _Attempt(
+            headers.get('X-Attempt') or uuid.uuid4().hex,
+            headers.get('X-Caller', ''),
+            body,
+            time.monotonic() + left_s,
+            start,
+        )
+        self._attempts[attempt.attempt] = attempt
+        self.chats.append(
+            {
+                'attempt': attempt.attempt,
+                'caller': attempt.caller,
+                'copy_id': self.copy_id,
+                'token': self.token,
+                'at': time.monotonic(),
+            }
+        )
+        self._note_prefix(body)
+        self._spawn(
+            self._generate(attempt, int(headers.get('X-Priority', '0')))
+        )
+        return await self._send(request, attempt, start)
+
+    async def _resume(self, request):
+        order = await request.json()
+        attempt = self._attempts.get(order['attempt'])
+        if (
+            attempt is None
+            or attempt.caller != order['caller']
+            or attempt.broken
+            or not attempt.start <= order['after'] <= len(attempt.words)
+        ):
+            raise web.HTTPGone
+        return await self._send(request, attempt, order['after'])
+
+    async def _generate(self, attempt: _Attempt, priority: int) -> None:
+        await self._enter(priority)
+        vms = list(self.members)
+        copy_id, token = self.copy_id, self.token
+        try:
+            while attempt.made < len(attempt.words) and not attempt.broken:
+                if self.token_s:
+                    await asyncio.sleep(self.token_s)
+                await self._resumed.wait()
+                late = time.monotonic() > attempt.deadline
+                if late or (
+                    copy_id and not self._fleet.members_ok(copy_id, token, vms)
+                ):
+                    attempt.broken = True
+                else:
+                    attempt.made += 1
+                attempt.wake()
+            attempt.ended = not attempt.broken
+            attempt.wake()
+        finally:
+            self._leave()
+        await asyncio.sleep(RESUME_KEPT_S)
+        self._attempts.pop(attempt.attempt, None)
+
+    async def _enter(self, priority: int) -> None:
+        if self._running < self.slots:
+            self._running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self._waiting.append((priority, len(self.chats), turn))
+        self._waiting.sort(key=lambda item: item[:2])
+        await turn
+
+    def _leave(self) -> None:
+        if self._waiting:
+            self._waiting.pop(0)[2].set_result(None)
+        else:
+            self._running -= 1
+        self._check_drained()
+
+    async def _send(self, request, attempt: _Attempt, after: int):
+        resp = web.StreamResponse(
+            headers={'Content-Type': 'text/event-stream'}
+        )
+        await resp.prepare(request)
+        sent = after
+        with contextlib.suppress(ConnectionError):
+            while True:
+                while sent < attempt.made:
+                    sent += 1
+                    await resp.write(self._event(attempt, sent))
+                if attempt.ended and sent == len(attempt.words):
+                    await resp.write(
+                        f'id: {attempt.attempt}/{sent}\n'
+                        'data: [DONE]\n\n'.encode()
+                    )
+                    await resp.write_eof()
+                    return resp
+                if attempt.broken:
+                    _server.abort(request)
+                await attempt.changed.wait()
+        return resp
+
+    def _event(self, attempt: _Attempt, position: int) -> bytes:
+        chunk = {
+            'object': 'chat.completion.chunk',
+            'choices': [
+                {
+                    'index': 0,
+                    'delta': {'content': attempt.words[position - 1]},
+                }
+            ],
+        }
+        return (
+            f'id: {attempt.attempt}/{position}\ndata: {json.dumps(chunk)}\n\n'
+        ).encode()
+
+    def _note_prefix(self, body) -> None:
+        text = json.dumps(body.get('messages'))[:256]
+        digest = hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+        self._cache_number += 1
+        if self._rng.random() >= self.cache_gap:
+            self._cache_events.append(
+                (self._cache_number, time.monotonic(), digest)
+            )
+
+    async def _list_cache_events(self, request):
+        after = int(request.query.get('after', '0'))
+        limit = time.monotonic() - self.faults.lag_s
+        return web.json_response(
+            {
+                'events': [
+                    {'number': number, 'prefix': digest}
+                    for number, at, digest in self._cache_events
+                    if number > after and at <= limit
+                ]
+            }
+        )
+
+    async def _set_faults(self, request):
+        values = await request.json()
+        action = values.pop('action', '')
+        _faults.set_faults(self.faults, values)
+        if action == 'pause':
+            self.pause()
+        elif action in ('die', 'reboot'):
+            asyncio.ensure_future(getattr(self, action)())
+        elif action == 'leave':
+            self.leaving = True
+        return web.json_response({'action': action})
--- /dev/null
+++ b/plantainway/standins/_table.py
@@ -0,0 +1,152 @@
+"""Table service in memory, and its HTTP side."""
+
+import bisect
+
+from aiohttp import web
+
+from plantainway import errors
+from plantainway import platform
+from plantainway.standins import _faults
+from plantainway.standins import _server
+
+
+class MemoryTable(platform.BaseTable):
+    """Transactional rows in memory, with faults.
+
+    Args:
+        faults: Switches; none are on by default.
+    """
+
+    def __init__(self, faults: _faults.Faults | None = None):
+        self.faults = faults or _faults.Faults()
+        self.reads = 0
+        self.commits = 0
+        self.writes = 0
+        self._rows: dict[str, platform.Row] = {}
+        self._keys: list[str] = []
+        self._version = 0
+
+    async def read(self, key: str) -> platform.Row | None:
+        """Reads a row; see the base class."""
+        await self._enter('table_read')
+        return self._rows.get(key)
+
+    async def scan(self, prefix: str) -> list[platform.Row]:
+        """Lists rows; see the base class."""
+        await self._enter('table_scan')
+        start = bisect.bisect_left(self._keys, prefix)
+        found = []
+        for key in self._keys[start:]:
+            if not key.startswith(prefix):
+                break
+            found.append(self._rows[key])
+        return found
+
+    async def commit(self, txn: platform.Transaction) -> platform.CommitResult:
+        """Applies a transaction; see the base class."""
+        outcome = platform.Outcome
+        await self.faults.delay()
+        if self.faults.outage:
+            return platform.CommitResult(outcome.NOT_COMMITTED, 'unavailable')
+        if self.faults.take_lost_request():
+            return platform.CommitResult(outcome.UNKNOWN, 'lost')
+        result = self.apply(txn)
+        if self.faults.take_lost_reply():
+            return platform.CommitResult(outcome.UNKNOWN, 'lost')
+        return result
+
+    def apply(self, txn: platform.Transaction) -> platform.CommitResult:
+        """Applies a transaction without any fault.
+
+        Args:
+            txn: Transaction to apply.
+        """
+        self.commits += 1
+        conflicts = tuple(
+            check.key
+            for check in txn.checks
+            if self._version_of(check.key) != check.version
+        )
+        if conflicts:
+            return platform.CommitResult(
+                platform.Outcome.NOT_COMMITTED, 'conflict', conflicts
+            )
+        self._version += 1
+        for write in txn.writes:
+            self.writes += 1
+            self._put(write, txn.txn_id)
+        return platform.CommitResult(
+            platform.Outcome.COMMITTED, version=self._version
+        )
+
+    def _version_of(self, key: str) -> int:
+        row = self._rows.get(key)
+        return row.version if row else platform.ABSENT
+
+    def _put(self, write: platform.Write, txn_id: str) -> None:
+        if write.value is None:
+            if self._rows.pop(write.key, None) is not None:
+                self._keys.remove(write.key)
+            return
+        if write.key not in self._rows:
+            bisect.insort(self._keys, write.key)
+        self._rows[write.key] = platform.Row(
+            write.key, write.value, self._version, txn_id
+        )
+
+    async def _enter(self, step: str) -> None:
+        self.reads += 1
+        await self.faults.delay()
+        if self.faults.outage:
+            raise errors.StoreUnavailableError('outage', step)
+
+
+def add_routes(app: web.Application, table: MemoryTable) -> None:
+    """Serves a table over HTTP.
+
+    Args:
+        app: Application to add the routes to.
+        table: Table to serve.
+    """
+
+    async def read(request):
+        row = await table.read(request.query['key'])
+        if row is None:
+            raise web.HTTPNotFound
+        return web.json_response(_row_json(row))
+
+    async def scan(request):
+        rows = await table.scan(request.query['prefix'])
+        return web.json_response({'rows': [_row_json(r) for r in rows]})
+
+    async def commit(request):
+        body = await request.json()
+        result = await table.commit(
+            platform.Transaction(
+                body['txn'],
+                tuple(platform.Check(k, v) for k, v in body['checks']),
+                tuple(platform.Write(k, v) for k, v in body['writes']),
+            )
+        )
+        if result.outcome is platform.Outcome.UNKNOWN:
+            _server.abort(request)
+        if result.outcome is platform.Outcome.COMMITTED:
+            return web.json_response({'version': result.version})
+        if result.reason == 'conflict':
+            return web.json_response(
+                {'conflicts': list(result.conflicts)}, status=409
+            )
+        raise web.HTTPServiceUnavailable
+
+    app.router.add_get('/rows', read)
+    app.router.add_get('/scan', scan)
+    app.router.add_post('/commit', commit)
+
+
+def _row_json(row: platform.Row) -> dict:
+    return {
+        'key': row.key,
+        'value': row.value,
+        'version': row.version,
+        'txn': row.txn_id,
+    }
--- /dev/null
+++ b/plantainway/upstreams/_http_engine.py
@@ -0,0 +1,192 @@
+"""HTTP client of a model engine."""
+
+import time
+import typing
+
+import aiohttp
+import pydantic
+
+from plantainway import errors
+from plantainway.upstreams import _engine
+
+STATE_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+EVENT_MAX_BYTES = 65536
+COPY_HEADER = 'X-Replica'
+TOKEN_HEADER = 'X-Fencing-Token'
+ATTEMPT_HEADER = 'X-Attempt'
+CALLER_HEADER = 'X-Caller'
+DEADLINE_HEADER = 'X-Deadline-Ms'
+PRIORITY_HEADER = 'X-Priority'
+_MS = 1000
+_HTTP_OK = 200
+_HTTP_CONFLICT = 409
+_HTTP_GONE = 410
+_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+_STATE = pydantic.TypeAdapter(_engine.EngineState)
+_DONE = b'[DONE]'
+
+
+class HttpEngine(_engine.BaseEngine):
+    """Engine over HTTP, as docs/design/interfaces.md assumes it.
+
+    Args:
+        vm: Name of the VM.
+        address: ``IP:PORT`` of the engine.
+        session: Client session to use.
+    """
+
+    def __init__(self, vm: str, address: str, session: aiohttp.ClientSession):
+        self.vm = vm
+        self.address = address
+        self._base = f'http://{address}'
+        self._session = session
+
+    async def state(self) -> _engine.EngineState:
+        """Returns the state; see the base class."""
+        timeout = aiohttp.ClientTimeout(total=STATE_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                f'{self._base}/state', timeout=timeout
+            ) as resp:
+                if resp.status != _HTTP_OK:
+                    raise self._failure(f'status {resp.status}', 'state')
+                return _STATE.validate_json(await resp.read())
+        except _CALL_ERRORS as exc:
+            raise self._failure(repr(exc), 'state')
+
+    async def load(self, order: _engine.LoadOrder) -> None:
+        """Orders a load; see the base class."""
+        await self._order(
+            'load',
+            {
+                'copy_id': order.copy_id,
+                'token': order.token,
+                'rank': order.rank,
+                'members': [list(pair) for pair in order.members],
+                'version': order.version,
+                'weights': order.weights,
+                'adapters': list(order.adapters),
+            },
+        )
+
+    async def unload(self, copy_id: str, token: int) -> None:
+        """Orders an unload; see the base class."""
+        await self._order('unload', {'copy_id': copy_id, 'token': token})
+
+    async def drain(self, copy_id: str, token: int) -> None:
+        """Orders a drain; see the base class."""
+        await self._order('drain', {'copy_id': copy_id, 'token': token})
+
+    async def cancel(self, attempt: str) -> None:
+        """Ends an attempt; see the base class."""
+        await self._order('cancel', {'attempt': attempt})
+
+    async def _order(self, name: str, body: dict) -> None:
+        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                f'{self._base}/orders/{name}', json=body, timeout=timeout
+            ) as resp:
+                if resp.status == _HTTP_CONFLICT:
+                    raise errors.OrderRefusedError(
+                        await resp.text(), f'order_{name}', self.vm
+                    )
+                if resp.status != _HTTP_OK:
+                    raise self._failure(
+                        f'status {resp.status}', f'order_{name}'
+                    )
+        except aiohttp.ClientConnectorError as exc:
+            raise self._failure(repr(exc), f'order_{name}', sent=False)
+        except _CALL_ERRORS as exc:
+            raise self._failure(repr(exc), f'order_{name}')
+
+    async def chat(
+        self, call: _engine.ChatCall
+    ) -> typing.AsyncIterator[_engine.ChatEvent]:
+        """Starts an attempt; see the base class."""
+        left_ms = int((call.deadline - time.monotonic()) * _MS)
+        body = dict(call.body)
+        body['stream'] = True
+        if call.position:
+            body['continue_from'] = {
+                'position': call.position,
+                'text': call.prefix,
+            }
+        headers = {
+            COPY_HEADER: call.copy_id,
+            TOKEN_HEADER: str(call.token),
+            ATTEMPT_HEADER: call.attempt,
+            CALLER_HEADER: call.caller,
+            DEADLINE_HEADER: str(max(left_ms, 0)),
+            PRIORITY_HEADER: str(call.priority),
+        }
+        async for event in self._stream(
+            '/v1/chat/completions', 'chat', body, headers
+        ):
+            yield event
+
+    async def resume(
+        self, attempt: str, caller: str, after: int
+    ) -> typing.AsyncIterator[_engine.ChatEvent]:
+        """Goes on with an attempt; see the base class."""
+        body = {'attempt': attempt, 'caller': caller, 'after': after}
+        async for event in self._stream('/orders/resume', 'resume', body, {}):
+            yield event
+
+    async def _stream(self, path, step, body, headers):
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.post(
+                self._base + path, json=body, headers=headers, timeout=timeout
+            ) as resp:
+                await self._check_status(resp, step)
+                while True:
+                    block = await resp.content.readuntil(b'\n\n')
+                    event = _parse_event(block)
+                    if event is not None:
+                        yield event
+                        if event.end:
+                            return
+        except aiohttp.ClientConnectorError as exc:
+            raise self._failure(repr(exc), step, sent=False)
+        except (*_CALL_ERRORS, EOFError) as exc:
+            raise self._failure(repr(exc), step)
+
+    async def _check_status(self, resp, step: str) -> None:
+        if resp.status == _HTTP_OK:
+            return
+        if resp.status == _HTTP_GONE:
+            raise errors.ResumeLostError('attempt is gone', step, self.vm)
+        if resp.status == _HTTP_CONFLICT:
+            raise errors.OrderRefusedError(
+                'not a member of this copy', step, self.vm, sent=False
+            )
+        # 429 and 503 are documented as sent before any work is done.
+        raise self._failure(
+            f'status {resp.status}', step, sent=resp.status not in (429, 503)
+        )
+
+    def _failure(self, text, step, sent=True) -> errors.UpstreamError:
+        return errors.UpstreamError(text, step, self.vm, sent)
+
+
+def _parse_event(block: bytes) -> _engine.ChatEvent | None:
+    """Parses one server-sent event with ``id`` and ``data`` fields."""
+    ident = data = None
+    for line in block.splitlines():
+        if line.startswith(b'data:'):
+            data = line[5:].lstrip()
+        elif line.startswith(b'id:'):
+            ident = line[3:].strip()
+    if not block.endswith(b'\n\n'):
+        raise ValueError('the stream ended inside an event')
+    if data is None:
+        return None  # a comment that keeps the connection open
+    if ident is None or len(data) > EVENT_MAX_BYTES:
+        raise ValueError('an event without id or too long')
+    attempt, _, position = ident.decode('ascii').partition('/')
+    return _engine.ChatEvent(attempt, int(position), data, data == _DONE)
--- /dev/null
+++ b/plantainway/upstreams/_service.py
@@ -0,0 +1,98 @@
+"""Plain services."""
+
+import abc
+import dataclasses
+import time
+
+import aiohttp
+
+from plantainway import errors
+
+CONNECT_TIMEOUT_S = 1.0
+ANSWER_MAX_BYTES = 1 << 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One call; ``deadline`` is monotonic time in seconds."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """A whole answer of a service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class BaseService(abc.ABC):
+    """One instance of a plain service."""
+
+    @abc.abstractmethod
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Makes one call.
+
+        Args:
+            call: The call.
+
+        Returns:
+            The whole answer.
+
+        Raises:
+            UpstreamError: ``sent`` is false only if no byte left.
+        """
+
+
+class HttpService(BaseService):
+    """Service instance over HTTP.
+
+    Args:
+        name: Name of the upstream.
+        address: ``IP:PORT`` of the instance.
+        session: Client session to use.
+    """
+
+    def __init__(
+        self, name: str, address: str, session: aiohttp.ClientSession
+    ):
+        self.name = name
+        self._base = f'http://{address}'
+        self._session = session
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Makes one call; see the base class."""
+        left_s = max(call.deadline - time.monotonic(), 0.001)
+        timeout = aiohttp.ClientTimeout(
+            total=left_s, sock_connect=min(CONNECT_TIMEOUT_S, left_s)
+        )
+        step = 'service_call'
+        try:
+            async with self._session.request(
+                call.method,
+                self._base + call.path,
+                data=call.body,
+                headers=call.headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as resp:
+                body = await resp.content.read(ANSWER_MAX_BYTES + 1)
+                while not resp.content.at_eof() and (
+                    len(body) <= ANSWER_MAX_BYTES
+                ):
+                    body += await resp.content.read(ANSWER_MAX_BYTES)
+                if len(body) > ANSWER_MAX_BYTES:
+                    raise errors.UpstreamError(
+                        'the answer is too long', step, self.name
+                    )
+                return ServiceAnswer(resp.status, resp.content_type, body)
+        except aiohttp.ClientConnectorError as exc:
+            raise errors.UpstreamError(repr(exc), step, self.name, sent=False)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise errors.UpstreamError(repr(exc), step, self.name)
--- /dev/null
+++ b/plantainway/wire/_messages.py
@@ -0,0 +1,113 @@
+"""Messages between nodes."""
+
+import dataclasses
+
+PROTOCOL_VERSION = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message on a link, from both sides."""
+
+    version: int
+    node: str
+    incarnation: int
+    failure_domain: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beat:
+    """Liveness of one node as the sender knows it.
+
+    ``age_ms`` counts from the node's own beat to the sending, summed over
+    the hops, so no clocks are compared.
+    """
+
+    node: str
+    incarnation: int
+    age_ms: int
+    report: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Beats:
+    """Periodic message: liveness and load.
+
+    ``loads`` gives requests running and waiting by head VM.
+    """
+
+    beats: list[Beat]
+    loads: dict[str, list[int]]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVm:
+    """State of one VM as its watcher last saw it.
+
+    ``ok`` is false while the watcher can't reach it.
+    """
+
+    ok: bool
+    boot: str
+    copy_id: str
+    token: int
+    role: str
+    leaving: bool
+    slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyView:
+    """One copy as its controller has it in the table.
+
+    ``members`` holds ``[vm, boot]`` pairs in rank order.
+    """
+
+    copy_id: str
+    group: str
+    version: str
+    token: int
+    state: str
+    members: list[list[str]]
+    row_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What one node tells all others; sent whole when it changes."""
+
+    node: str
+    incarnation: int
+    number: int
+    region: str
+    place: str
+    failure_domain: str
+    caller: str
+    peer: str
+    leaving: bool
+    seen: dict[str, SeenVm]
+    copies: dict[str, CopyView]
+    shards: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pull:
+    """Asks for the reports of the named nodes."""
+
+    nodes: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """Changes that make a revision: ``[kind, name, body or None]``."""
+
+    revision: int
+    changes: list[list]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Want:
+    """Asks for the revisions after a number."""
+
+    after: int
--- /dev/null
+++ b/tests/platform/test_table.py
@@ -0,0 +1,138 @@
+"""Contract of the table service, for every implementation."""
+
+import dataclasses
+
+import pytest
+
+from plantainway import clock
+from plantainway import errors
+from plantainway import platform
+
+OUTCOME = platform.Outcome
+
+
+def txn(txn_id, checks=(), writes=()):
+    """Returns a transaction from pairs."""
+    return platform.Transaction(
+        txn_id,
+        tuple(platform.Check(*pair) for pair in checks),
+        tuple(platform.Write(*pair) for pair in writes),
+    )
+
+
+CREATE_A = txn('t1', [('a', 0)], [('a', {'n': 1})])
+
+
+@pytest.mark.parametrize(
+    'checks, writes, outcome, left',
+    [
+        ([('b', 0)], [('b', {'n': 2})], 'committed', ['a', 'b']),
+        ([('a', 0)], [('b', {'n': 2})], 'not_committed', ['a']),
+        ([('a', 1)], [('a', None)], 'committed', []),
+        ([('a', 1), ('b', 7)], [('a', None)], 'not_committed', ['a']),
+        ([('a', 99)], [('a', {'n': 2})], 'not_committed', ['a']),
+        ([], [('a2', {}), ('b', {})], 'committed', ['a', 'a2', 'b']),
+    ],
+)
+async def test_commit_checks_and_writes(
+    any_table, checks, writes, outcome, left
+):
+    """A transaction takes effect whole or not at all."""
+    table = any_table.table
+    assert (await table.commit(CREATE_A)).version == 1
+    result = await table.commit(txn('t2', checks, writes))
+    assert result.outcome.value == outcome
+    if result.outcome is OUTCOME.NOT_COMMITTED:
+        assert result.reason == 'conflict' and result.conflicts
+    assert [row.key for row in await table.scan('')] == left
+
+
+async def test_rows_written_together_have_one_version(any_table):
+    """The version of a row is the number of its commit."""
+    table = any_table.table
+    await table.commit(CREATE_A)
+    result = await table.commit(
+        txn('t2', [('a', 1)], [('a', {'n': 2}), ('b', {'n': 3})])
+    )
+    rows = await table.scan('')
+    assert {row.version for row in rows} == {result.version}
+    assert {row.txn_id for row in rows} == {'t2'}
+    assert await table.read('missing') is None
+
+
+async def test_deleted_row_never_gets_an_old_version(any_table):
+    """A check can't be fooled by deleting and creating a row."""
+    table = any_table.table
+    await table.commit(CREATE_A)
+    await table.commit(txn('t2', [('a', 1)], [('a', None)]))
+    await table.commit(dataclasses.replace(CREATE_A, txn_id='t3'))
+    result = await table.commit(txn('t4', [('a', 1)], [('a', {})]))
+    assert result.outcome is OUTCOME.NOT_COMMITTED
+
+
+@pytest.mark.parametrize(
+    'switches, outcome, in_effect',
+    [
+        ({'outage': True}, OUTCOME.NOT_COMMITTED, False),
+        ({'lost_requests': 1}, OUTCOME.UNKNOWN, False),
+        ({'lost_replies': 1}, OUTCOME.UNKNOWN, True),
+        ({'slow_s': 0.01}, OUTCOME.COMMITTED, True),
+    ],
+)
+async def test_commit_under_faults(any_table, switches, outcome, in_effect):
+    """Unknown is never folded into another outcome."""
+    for name, value in switches.items():
+        setattr(any_table.faults, name, value)
+    result = await any_table.table.commit(CREATE_A)
+    assert result.outcome is outcome
+    any_table.faults.outage = False
+    row = await any_table.table.read('a')
+    assert (row is not None) == in_effect
+
+
+@pytest.mark.parametrize('call', ['read', 'scan'])
+async def test_reads_fail_with_a_code_in_an_outage(any_table, call):
+    """No read invents an answer."""
+    any_table.faults.outage = True
+    with pytest.raises(errors.StoreUnavailableError) as found:
+        await getattr(any_table.table, call)('a')
+    assert found.value.code == 'store_unavailable'
+    assert found.value.step == f'table_{call}'
+
+
+@pytest.mark.parametrize(
+    'switches, rival, outcome',
+    [
+        ({}, False, OUTCOME.COMMITTED),
+        ({'lost_requests': 1}, False, OUTCOME.COMMITTED),
+        ({'lost_requests': 2}, False, OUTCOME.COMMITTED),
+        ({'lost_replies': 1}, False, OUTCOME.COMMITTED),
+        ({'lost_replies': 2}, False, OUTCOME.COMMITTED),
+        ({'lost_requests': 1, 'lost_replies': 1}, False, OUTCOME.COMMITTED),
+        ({'lost_requests': 1}, True, OUTCOME.NOT_COMMITTED),
+        ({'outage': True}, False, OUTCOME.NOT_COMMITTED),
+        ({'lost_requests': 10**6}, False, OUTCOME.UNKNOWN),
+    ],
+)
+async def test_lost_replies_are_settled(any_table, switches, rival, outcome):
+    """A settled transaction took effect once or never."""
+    for name, value in switches.items():
+        setattr(any_table.faults, name, value)
+    if rival:
+        commit = any_table.table.commit
+
+        async def commit_after_rival(transaction):
+            result = await commit(transaction)
+            if transaction.txn_id == 't1':
+                await commit(dataclasses.replace(CREATE_A, txn_id='rival'))
+            return result
+
+        any_table.table.commit = commit_after_rival
+    clk = clock.MonotonicClock()
+    result = await platform.commit_settled(
+        any_table.table, CREATE_A, 'a', clk, clk.now() + 0.35
+    )
+    assert result.outcome is outcome
+    if outcome is OUTCOME.COMMITTED:
+        row = await any_table.table.read('a')
+        assert (row.txn_id, row.version) == ('t1', result.version)
