--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,10 @@
 	    --requirement requirements-run.lock . --no-deps
 
 capacity: $(VENV)/.ready
-	$(BIN)/python -m benchmarks.capacity
+	@$(BIN)/python -m benchmarks.capacity
 
 latency: $(VENV)/.ready
-	$(BIN)/python -m benchmarks.latency
+	@$(BIN)/python -m benchmarks.latency
 
 clean:
 	rm -rf build dist $(VENV)
