--- a/plantainway/groups/_control.py
+++ b/plantainway/groups/_control.py
@@ -8,13 +8,16 @@
 from plantainway import errors
 from plantainway.groups import _allotment
 from plantainway.groups import _lease
+from plantainway.groups import _orders
 from plantainway.groups import _planner
+from plantainway.groups import _policy
 from plantainway.groups import _returns
 from plantainway.groups import _shard
 from plantainway.groups import _sightings
 from plantainway.groups import _state
 from plantainway import logs
 from plantainway import peers
+from plantainway import platform
 from plantainway import upstreams
 from plantainway import wire
 
@@ -23,9 +26,12 @@
 RANK_PATIENCE_S = 1.0  # further wait of each lower-ranked candidate
 TICK_S = 0.25
 ALLOT_EVERY_S = 1.0
+MOVE_AFTER_S = 120.0  # a copy down for longer may be formed elsewhere
 ORDER_REPEAT_S = 1.0
 ORDER_FLIGHT_S = 10.0  # longest time an order can still be on its way
 LOAD_GUESS_S = 60.0
+JOIN_GUESS_S = 30.0
+DRAIN_GUESS_S = 45.0
 
 
 class ControlTask:
@@ -232,12 +238,16 @@
 class AllotmentController(ShardController):
     """Spreads the declared copies over the fabric domains."""
 
-    _next_at = 0.0
-    _written = None
+    def __init__(self, shard, node, incarnation, parts, owner):
+        super().__init__(shard, node, incarnation, parts, owner)
+        self._next_at = 0.0
+        self._written = None
+        self._down_since: dict[str, float] = {}
 
     def taken(self) -> None:
         """Forgets what was written under an earlier lease."""
         self._written = None
+        self._down_since.clear()
 
     async def work(self) -> None:
         """Writes the allotment when it differs from the last one."""
@@ -249,7 +259,7 @@
         wanted = _allotment.allot(
             revision.objects.of('replica_group').values(),
             self._rooms(revision.objects),
-            self._held(),
+            self._standing(),
         )
         if wanted != self._written:
             await self.store.write_allotment(wanted)
@@ -257,6 +267,12 @@
             logs.event('allotted', domains=len(wanted))
 
     def _rooms(self, objects) -> list:
+        """Counts the VMs that are up and in no copy, by domain."""
+        taken = {
+            vm
+            for _shard, copy in self._parts.copies.all()
+            for vm, _boot in copy.members
+        }
         rooms = collections.Counter(
             {name: 0 for name in objects.of('fabric_domain')}
         )
@@ -265,18 +281,38 @@
             if item.type != 'runner' or entry is None or entry.leaving:
                 continue
             sighting = self._parts.board.sighting(name)
-            if sighting is not None and not sighting.seen.leaving:
+            if name in taken or sighting is None or not sighting.seen.ok:
+                continue
+            if not sighting.seen.leaving:
                 rooms[item.fabric_domain] += 1
         return [
             _allotment.DomainRoom(domain, vms)
             for domain, vms in sorted(rooms.items())
         ]
 
-    def _held(self) -> dict:
-        held = collections.Counter()
+    def _standing(self) -> list:
+        """Lists the copies, and since when each has been down."""
+        now = self._parts.clock.now()
+        found = []
         for shard, copy in self._parts.copies.all():
-            held[(shard, copy.group)] += 1
-        return held
+            lost = any(
+                sighting is not None and not sighting.seen.ok
+                for sighting in (
+                    self._parts.board.sighting(vm)
+                    for vm, _boot in copy.members
+                )
+            )
+            if lost:
+                self._down_since.setdefault(copy.copy_id, now)
+            else:
+                self._down_since.pop(copy.copy_id, None)
+            since = self._down_since.get(copy.copy_id, now)
+            found.append(
+                _allotment.Standing(
+                    shard, copy.group, now - since >= MOVE_AFTER_S
+                )
+            )
+        return found
 
 
 class DomainController(ShardController):
@@ -285,14 +321,18 @@
     def __init__(self, shard, node, incarnation, parts, owner):
         super().__init__(shard, node, incarnation, parts, owner)
         self._lost_since: dict[str, float] = {}
+        self._was_leaving: set[str] = set()
+        self._watched_until = 0.0
         self._clear_at: dict[str, float] = {}
         self._order_at: dict[tuple, float] = {}
-        self._load_s: dict[str, float] = {}
-        self._allotted: dict[str, int] = {}
+        self._weights: dict[str, platform.WeightInfo] = {}
+        self._allotted = _allotment.Allotment({}, {})
         self._allot_at = 0.0
 
     def taken(self) -> None:
         """Waits out orders that an earlier holder may have sent."""
+        self._watched_until = 0.0
+        self._lost_since.clear()
         clear_at = self._parts.clock.now() + ORDER_FLIGHT_S
         self._clear_at = {
             vm: clear_at
@@ -306,19 +346,27 @@
         if revision is None:
             return
         await self._sync(revision.objects)
-        policy = _planner.PlannerPolicy(self._owner.returns)
-        actions = _planner.plan(self._view(revision.objects), policy)
-        for action in actions:
+        policy = _policy.PlannerPolicy(self._owner.returns)
+        found = _planner.plan(self._view(revision.objects), policy)
+        for action in found.actions:
             await self._apply(action)
-        if actions:
+        if found.actions:
             self._owner.publish()
-        await self._send_orders(
-            _planner.orders_due(self._view(revision.objects))
-        )
+        orders = _orders.orders_due(self._view(revision.objects))
+        orders += [
+            _state.Order('prefetch', item.vm, '', 0, prefetch=item)
+            for item in found.prefetches
+        ]
+        self._send_orders(orders)
 
     async def _sync(self, objects) -> None:
         """Brings allotment and VM rows up to date."""
         now = self._parts.clock.now()
+        if self._watched_until:
+            self._owner.returns.watched(
+                len(self.store.holds) * (now - self._watched_until)
+            )
+        self._watched_until = now
         if now >= self._allot_at:
             self._allotted = await self.store.allotted()
             self._allot_at = now + ALLOT_EVERY_S
@@ -332,19 +380,18 @@
         for vm in sorted(set(self.store.holds) - declared):
             if self.store.holds[vm].free:
                 await self.store.drop_vm(vm)
-        for group in objects.of('replica_group').values():
-            version = objects.get('model_version', group.model_version)
-            if version.weights not in self._load_s:
-                self._load_s[version.weights] = await self._estimate_s(
-                    version.weights
-                )
+        for version in objects.of('model_version').values():
+            if version.weights not in self._weights:
+                await self._describe(version.weights)
 
-    async def _estimate_s(self, weights: str) -> float:
+    async def _describe(self, weights: str) -> None:
+        """Asks the weight store once; it is not needed to form copies."""
         try:
             info = await self._parts.weight_store.describe(weights)
-        except errors.PlantainwayError:
-            return LOAD_GUESS_S
-        return info.size_bytes / max(info.rate_bytes_per_second, 1)
+        except errors.PlantainwayError as exc:
+            logs.event('weights_unknown', weights=weights, reason=exc.message)
+            info = platform.WeightInfo(weights, 0, 1, 1)
+        self._weights[weights] = info
 
     def _view(self, objects) -> _state.ShardView:
         vms = set(self.store.holds)
@@ -359,11 +406,16 @@
 
     def _specs(self, objects) -> dict:
         specs = {}
-        for name, count in self._allotted.items():
+        extra = self._allotted.extra
+        for name in set(self._allotted.copies) | set(extra):
+            count = self._allotted.copies.get(name, 0)
             group = objects.get('replica_group', name)
             if group is None:
                 continue
             version = objects.get('model_version', group.model_version)
+            info = self._weights[version.weights]
+            reader_rate = max(info.reader_bytes_per_second, 1)
+            load_s = info.size_bytes / group.vms_per_copy / reader_rate
             specs[name] = _state.GroupSpec(
                 name,
                 group.model_version,
@@ -374,7 +426,11 @@
                 group.downtime_weight,
                 group.stranded_weight,
                 group.value,
-                self._load_s.get(version.weights, LOAD_GUESS_S),
+                load_s or LOAD_GUESS_S,
+                extra.get(name, 0),
+                JOIN_GUESS_S,
+                DRAIN_GUESS_S,
+                info.rate_bytes_per_second // reader_rate,
             )
         return specs
 
@@ -386,18 +442,31 @@
         if sighting is not None and not sighting.seen.ok:
             self._lost_since.setdefault(vm, now)
         elif sighting is not None and vm in self._lost_since:
-            self._owner.returns.add(now - self._lost_since.pop(vm))
+            self._note_return(vm, now - self._lost_since.pop(vm), sighting)
+        leaving = entry is not None and entry.leaving
+        if leaving:
+            self._was_leaving.add(vm)
+        elif sighting is not None and sighting.seen.ok:
+            self._was_leaving.discard(vm)
         return _state.VmFacts(
             vm,
             item.address if item else '',
             entry is not None and item is not None,
-            entry is not None and entry.leaving,
+            leaving,
             item is not None and item.checks_fencing,
             sighting,
             self._lost_since.get(vm),
             self._clear_at.get(vm, 0.0),
         )
 
+    def _note_return(self, vm: str, away_s: float, sighting) -> None:
+        """Learns from an absence of a member that was not planned."""
+        hold = self.store.holds[vm]
+        if not hold.boot or vm in self._was_leaving:
+            return
+        same = sighting.seen.boot == hold.boot
+        self._owner.returns.add(away_s if same else float('inf'))
+
     async def _apply(self, action) -> None:
         held = {
             vm: hold.token
@@ -428,11 +497,13 @@
             token=self.store.token,
         )
 
-    async def _send_orders(self, orders) -> None:
+    def _send_orders(self, orders) -> None:
         now = self._parts.clock.now()
         due = []
         for order in orders:
             ident = (order.name, order.vm, order.copy_id, order.token)
+            if order.prefetch is not None:
+                ident += (order.prefetch.spec.weights, order.prefetch.rank)
             if self._order_at.get(ident, 0.0) <= now:
                 self._order_at[ident] = now + ORDER_REPEAT_S
                 due.append(order)
@@ -453,6 +524,17 @@
         try:
             if order.name == 'load':
                 await engine.load(self._load_order(order, revision.objects))
+            elif order.name == 'prefetch':
+                spec = order.prefetch.spec
+                rank = order.prefetch.rank
+                await engine.prefetch(
+                    upstreams.PrefetchOrder(
+                        spec.weights,
+                        rank,
+                        spec.vms_per_copy,
+                        spec.warm_label(rank),
+                    )
+                )
             elif order.name == 'unload':
                 await engine.unload(order.copy_id, order.token)
             else:
@@ -485,6 +567,11 @@
             copy.version,
             version.weights if version else '',
             tuple(group.adapters) if group else (),
+            _state.warm_label(
+                version.weights if version else '',
+                copy.vms.index(order.vm),
+                len(copy.members),
+            ),
         )
 
 
--- a/plantainway/groups/_planner.py
+++ b/plantainway/groups/_planner.py
@@ -1,82 +1,16 @@
 """What to do with the copies of one fabric domain."""
 
-import abc
 import collections
 
-from plantainway.groups import _returns
+from plantainway.groups import _policy
+from plantainway.groups import _release
 from plantainway.groups import _state
 
 CopyState = _state.CopyState
-TAKE_GAIN = 1.5  # a taker must be worth this much more than its donor
+NEVER = _policy.NEVER
 
 
-class BasePolicy(abc.ABC):
-    """Decides when a copy with missing members is repaired, and how."""
-
-    may_take = False
-
-    @abc.abstractmethod
-    def repair_due(self, spec, away_s: float) -> bool:
-        """Tells whether to stop waiting for missing members.
-
-        Args:
-            spec: The group's part in this fabric domain.
-            away_s: Seconds since the first member went missing.
-        """
-
-
-class StaticPolicy(BasePolicy):
-    """Never replaces a member."""
-
-    def repair_due(self, spec, away_s: float) -> bool:
-        """Waits for ever; see the base class."""
-        return False
-
-
-class ReplacePolicy(BasePolicy):
-    """Replaces a missing member at once."""
-
-    def repair_due(self, spec, away_s: float) -> bool:
-        """Never waits; see the base class."""
-        return True
-
-
-class WaitPolicy(BasePolicy):
-    """Waits for a fixed time.
-
-    Args:
-        wait_s: Seconds to wait.
-    """
-
-    def __init__(self, wait_s: float = 60.0):
-        self._wait_s = wait_s
-
-    def repair_due(self, spec, away_s: float) -> bool:
-        """Waits for the fixed time; see the base class."""
-        return away_s >= self._wait_s
-
-
-class PlannerPolicy(BasePolicy):
-    """Waits as long as the learned absences make it pay.
-
-    Args:
-        returns: Learned lengths of absences.
-    """
-
-    may_take = True
-
-    def __init__(self, returns: _returns.ReturnModel):
-        self._returns = returns
-
-    def repair_due(self, spec, away_s: float) -> bool:
-        """Weighs waiting against loading anew; see the base class."""
-        until_s = _returns.best_wait_s(
-            self._returns.samples(), away_s, spec.load_s
-        )
-        return away_s >= until_s
-
-
-def plan(view: _state.ShardView, policy: BasePolicy) -> list:
+def plan(view: _state.ShardView, policy: _policy.BasePolicy) -> _state.Plan:
     """Decides on the next actions; each assumes the ones before it.
 
     Args:
@@ -84,7 +18,8 @@
         policy: When and how to repair.
 
     Returns:
-        Actions, most valuable groups first.
+        Actions and prefetches, costliest outages first, and the time at
+        which to plan again even if nothing has changed.
     """
     return _Pass(view, policy).run()
 
@@ -96,105 +31,173 @@
         self._view = view
         self._policy = policy
         self._actions = []
+        self._prefetches = []
+        self._wake_at = NEVER
         self._touched = set()
-        self._free = collections.deque(
-            sorted(
-                vm
-                for vm, hold in view.holds.items()
-                if hold.free and vm in view.vms and view.vms[vm].usable
-            )
-        )
-
-    def run(self) -> list:
-        """Returns the actions."""
+        self._given_up_drains = set()
+        self._by_group = collections.defaultdict(list)
+        self._loading_vms = 0
+        self._missing = {}
+        self._leaving = {}
+        for copy in view.copies.values():
+            self._by_group[copy.group].append(copy)
+            self._look_at_members(copy)
+            if copy.state is CopyState.LOADING:
+                self._loading_vms += len(copy.members)
+        self._releasing = []
+        self._free = []
+        for vm, hold in view.holds.items():
+            if hold.releasing:
+                self._releasing.append(vm)
+            elif not hold.copy_id and view.vms[vm].usable:
+                self._free.append(vm)
+        self._releasing.sort()
+        self._free.sort()
+
+    def _look_at_members(self, copy) -> None:
+        """Notes which members are missing and which are leaving."""
+        missing = []
+        leaving = []
+        vms = self._view.vms
+        for member in copy.members:
+            facts = vms.get(member.vm)
+            if facts is None or facts.lost_since is not None:
+                missing.append(member.vm)
+                continue
+            sighting = facts.sighting
+            if sighting is None:
+                if facts.leaving:
+                    leaving.append(member.vm)
+                continue
+            seen = sighting.seen
+            if member.boot and seen.boot != member.boot:
+                missing.append(member.vm)
+            if facts.leaving or seen.leaving:
+                leaving.append(member.vm)
+        self._missing[copy.copy_id] = missing
+        self._leaving[copy.copy_id] = leaving
+
+    def run(self) -> _state.Plan:
+        """Returns the plan."""
         self._free_released()
-        for copy in self._by_value():
-            self._tend(copy)
+        ordered = self._by_cost()
+        # Broken copies first: what they need decides over the others.
+        broken = [c for c in ordered if self._missing[c.copy_id]]
+        whole = [c for c in ordered if not self._missing[c.copy_id]]
+        for copy in broken + whole:
+            if copy.copy_id not in self._touched:
+                self._tend(copy)
         self._form_missing()
-        return self._actions
+        self._form_extra()
+        self._warm_idle()
+        return _state.Plan(
+            tuple(self._actions), tuple(self._prefetches), self._wake_at
+        )
 
-    def _by_value(self) -> list:
+    def _by_cost(self) -> list:
         def rank(copy):
             spec = self._view.specs.get(copy.group)
-            return (-spec.value if spec else 0.0, copy.copy_id)
+            if spec is None:
+                return (0.0, copy.copy_id)
+            rate = _policy.cost_rate(spec, spec.vms_per_copy)
+            return (-rate / spec.vms_per_copy, copy.copy_id)
 
         return sorted(self._view.copies.values(), key=rank)
 
     def _free_released(self) -> None:
-        for vm, hold in sorted(self._view.holds.items()):
-            if not hold.releasing:
-                continue
-            facts = self._view.vms.get(vm)
-            proof = release_proven(hold, facts, self._view.now)
+        for vm in self._releasing:
+            facts = self._view.vms[vm]
+            proof = _release.release_proven(
+                self._view.holds[vm], facts, self._view.now
+            )
             if proof:
-                boot = ''
-                if facts is not None and facts.sighting is not None:
-                    boot = facts.sighting.seen.boot
+                sighting = facts.sighting
+                boot = sighting.seen.boot if sighting else ''
                 self._actions.append(_state.Free(vm, boot, proof))
+            elif facts.orders_clear_at > self._view.now:
+                self._wake_by(facts.orders_clear_at)
+
+    def _wake_by(self, at: float) -> None:
+        self._wake_at = min(self._wake_at, at)
 
     def _tend(self, copy) -> None:
-        if copy.copy_id in self._touched:
-            return
         spec = self._view.specs.get(copy.group)
-        missing = self._missing(copy)
+        missing = self._missing[copy.copy_id]
         if copy.state is CopyState.DRAINING:
             self._after_drain(copy, spec, missing)
+        elif spec is None or self._is_surplus(copy, spec):
+            self._give_up(copy, 'not wanted')
         elif missing:
             self._repair(copy, spec, missing)
-        elif spec is None or self._surplus(copy, spec):
-            self._drain(copy, 'not wanted')
-        elif self._leaving(copy):
-            self._drain(copy, 'member leaving')
+        elif self._leaving[copy.copy_id]:
+            self._replace_leaving(copy, spec)
         elif copy.version != spec.version:
-            self._roll(copy, spec)
+            self._roll(copy)
         elif copy.state is CopyState.LOADING:
             self._confirm(copy)
 
-    def _missing(self, copy) -> list[str]:
-        found = []
-        for member in copy.members:
-            facts = self._view.vms.get(member.vm)
-            if facts is None or facts.lost_since is not None:
-                found.append(member.vm)
-            elif member.boot and facts.sighting is not None:
-                if facts.sighting.seen.boot != member.boot:
-                    found.append(member.vm)
-        return found
-
-    def _leaving(self, copy) -> list[str]:
-        return [vm for vm in copy.vms if self._view.vms[vm].is_leaving]
-
-    def _surplus(self, copy, spec) -> bool:
-        same = sorted(
-            item.copy_id
-            for item in self._view.copies.values()
-            if item.group == copy.group
-            and item.state is not CopyState.DRAINING
+    def _is_surplus(self, copy, spec) -> bool:
+        """Tells whether a copy is one too many, broken ones first."""
+        if len(self._by_group[copy.group]) <= spec.copies + spec.extra:
+            return False
+        same = [
+            item
+            for item in self._by_group[copy.group]
+            if item.state is not CopyState.DRAINING
+            and item.copy_id not in self._touched
+        ]
+        extra = len(same) - spec.copies - spec.extra
+        if extra <= 0:
+            return False
+        same.sort(
+            key=lambda item: (
+                not self._missing[item.copy_id],
+                item.state is CopyState.SERVING,
+                item.copy_id,
+            )
         )
-        return copy.copy_id in same[spec.copies :]
+        return copy in same[:extra]
 
-    def _drain(self, copy, reason: str) -> None:
-        if copy.state is CopyState.LOADING:
-            self._actions.append(_state.Dissolve(copy, reason))
-        else:
+    def _give_up(self, copy, reason: str) -> None:
+        """Ends a copy: drains it first if it may have work."""
+        serving = copy.state is CopyState.SERVING
+        if serving and not self._missing[copy.copy_id]:
             self._actions.append(_state.Drain(copy, reason))
+        else:
+            self._actions.append(_state.Dissolve(copy, reason))
         self._touched.add(copy.copy_id)
 
-    def _roll(self, copy, spec) -> None:
+    def _replace_leaving(self, copy, spec) -> None:
+        """Drains, and gets replacements ready meanwhile."""
+        leaving = self._leaving[copy.copy_id]
+        chosen = self._choose_replacements(copy, spec, leaving)
+        if len(chosen) < len(leaving):
+            self._take_for(copy, spec, leaving, len(chosen))
+        self._give_up(copy, 'member leaving')
+
+    def _take_for(self, copy, spec, away, replaced: int) -> None:
+        outage = _policy.Outage(
+            tuple(away), self._lost_since(away), True, False, False
+        )
+        self._take(copy, spec, outage, len(away) - replaced)
+
+    def _roll(self, copy) -> None:
         """Drains for a new version, one copy of a group at a time."""
         unsettled = [
             item
-            for item in self._view.copies.values()
-            if item.group == copy.group
-            and item.copy_id != copy.copy_id
+            for item in self._by_group[copy.group]
+            if item.copy_id != copy.copy_id
             and (
                 item.state is not CopyState.SERVING
                 or item.copy_id in self._touched
-                or self._missing(item)
+                or self._missing[item.copy_id]
             )
         ]
-        if not unsettled or copy.state is CopyState.LOADING:
-            self._drain(copy, 'new version')
+        if copy.state is CopyState.LOADING:
+            self._give_up(copy, 'new version')
+        elif not unsettled:
+            self._actions.append(_state.Drain(copy, 'new version'))
+            self._touched.add(copy.copy_id)
 
     def _confirm(self, copy) -> None:
         boots = []
@@ -212,193 +215,320 @@
         self._actions.append(_state.MarkServing(copy, tuple(boots)))
 
     def _after_drain(self, copy, spec, missing) -> None:
-        if not missing:
-            head = self._view.vms[copy.members[0].vm].sighting
-            drained = head is not None and head.seen.role in (
-                'drained',
-                'idle',
-            )
-            if not drained:
-                return
-        gone = set(missing) | set(self._leaving_known(copy))
-        keep = [vm for vm in copy.vms if vm not in gone]
-        if (
-            spec is None
-            or self._count(copy.group) >= spec.copies
-            or len(keep) + len(self._free) < spec.vms_per_copy
-        ):
-            self._dissolve(copy, 'drained')
-        else:
-            self._reform(copy, spec, keep, 'drained')
+        """Loads a drained copy anew, or gives it up."""
+        head = self._view.vms[copy.members[0].vm].sighting
+        drained = missing or (
+            head is not None and head.seen.role in ('drained', 'idle')
+        )
+        if not self._is_wanted(copy, spec):
+            if drained:
+                self._actions.append(_state.Dissolve(copy, 'drained'))
+                self._touched.add(copy.copy_id)
+            return
+        gone = [vm for vm in copy.vms if not self._usable(vm)]
+        chosen = self._choose_replacements(copy, spec, gone)
+        if len(chosen) < len(gone):
+            # It keeps its place: the VM may come back, or another be free.
+            self._take_for(copy, spec, gone, len(chosen))
+        elif drained and self._may_load(spec):
+            self._reform(copy, spec, chosen, 'drained')
+
+    def _is_wanted(self, copy, spec) -> bool:
+        """Tells whether a draining copy is to be loaded anew."""
+        if spec is None or copy.copy_id in self._given_up_drains:
+            return False
+        standing = self._standing(spec)
+        if standing < spec.copies:
+            return True
+        return standing < spec.copies + spec.extra and not self._short()
+
+    def _short(self) -> bool:
+        """Tells whether any copy lacks a VM, or a declared one is missing."""
+        return any(
+            len(self._by_group[spec.name]) < spec.copies
+            for spec in self._view.specs.values()
+        ) or any(
+            self._missing[copy.copy_id] or self._lacks_replacement(copy)
+            for copy in self._view.copies.values()
+        )
+
+    def _lacks_replacement(self, copy) -> bool:
+        return copy.state is CopyState.DRAINING and not all(
+            map(self._usable, copy.vms)
+        )
 
-    def _count(self, group: str) -> int:
+    def _standing(self, spec) -> int:
         return sum(
             1
-            for item in self._view.copies.values()
-            if item.group == group and item.state is not CopyState.DRAINING
+            for item in self._by_group[spec.name]
+            if item.state is not CopyState.DRAINING
         )
 
-    def _leaving_known(self, copy) -> list[str]:
-        return [
-            vm
-            for vm in copy.vms
-            if vm in self._view.vms and not self._view.vms[vm].usable
-        ]
+    def _usable(self, vm: str) -> bool:
+        facts = self._view.vms.get(vm)
+        return facts is not None and facts.usable
 
     def _repair(self, copy, spec, missing) -> None:
-        if spec is None:
-            self._dissolve(copy, 'not wanted')
-            return
-        keep = [vm for vm in copy.vms if vm not in missing]
         back = [vm for vm in missing if self._usable(vm)]
-        if len(back) == len(missing):
+        away = [vm for vm in missing if vm not in back]
+        if not away:
             # Restarted members must load anew; their places are kept.
-            self._reform(copy, spec, list(copy.vms), 'member restarted')
+            if self._may_load(spec):
+                self._reform(copy, spec, {}, 'member restarted')
             return
-        if not self._policy.repair_due(spec, self._away_s(missing)):
-            return
-        keep += back
-        if len(keep) + len(self._free) >= spec.vms_per_copy:
-            self._reform(copy, spec, keep, 'member lost')
-        elif self._policy.may_take:
-            self._take(copy, spec, keep)
-
-    def _usable(self, vm: str) -> bool:
-        facts = self._view.vms.get(vm)
-        return facts is not None and facts.usable
-
-    def _away_s(self, missing) -> float:
+        chosen = self._choose_replacements(copy, spec, away)
+        final = bool(back) or any(
+            vm in self._view.vms and not self._view.vms[vm].listed
+            for vm in away
+        )
+        outage = _policy.Outage(
+            tuple(away),
+            self._lost_since(away),
+            final,
+            len(chosen) == len(away)
+            and all(
+                self._is_warm(spec, vm, copy.vms.index(lost))
+                for lost, vm in chosen.items()
+            ),
+            len(chosen) == len(away),
+        )
+        at = self._policy.repair_at(spec, outage, self._view.now)
+        if self._view.now < at:
+            self._wake_by(at)
+            if not outage.replaceable:
+                self._take_early(copy, spec, outage)
+        elif not outage.replaceable:
+            self._take(copy, spec, outage, len(away) - len(chosen))
+        elif self._may_load(spec):
+            self._reform(copy, spec, chosen, 'member lost')
+
+    def _lost_since(self, away) -> float:
         since = [
             self._view.vms[vm].lost_since
-            for vm in missing
+            for vm in away
             if vm in self._view.vms
             and self._view.vms[vm].lost_since is not None
         ]
-        return self._view.now - min(since) if since else 0.0
+        return min(since, default=self._view.now)
+
+    def _is_warm(self, spec, vm: str, rank: int) -> bool:
+        sighting = self._view.vms[vm].sighting
+        return sighting is not None and (
+            sighting.seen.warm == spec.warm_label(rank)
+        )
 
-    def _take(self, copy, spec, keep) -> None:
-        """Takes the missing number of VMs from a copy worth less."""
-        needed = spec.vms_per_copy - len(keep) - len(self._free)
-        for donor in reversed(self._by_value()):
-            if donor.copy_id == copy.copy_id:
+    def _choose_replacements(self, copy, spec, away) -> dict:
+        """Sets free VMs aside for members, warm ones first.
+
+        Returns:
+            The replacement by lost VM, for as many as there are VMs.
+        """
+        chosen = {}
+        if spec is None:
+            return chosen
+        for lost in away:
+            if not self._free:
+                break
+            rank = copy.vms.index(lost)
+            vm = next(
+                (vm for vm in self._free if self._is_warm(spec, vm, rank)),
+                self._free[0],
+            )
+            self._free.remove(vm)
+            chosen[lost] = vm
+            if self._policy.prefetches and not self._is_warm(spec, vm, rank):
+                self._prefetches.append(_state.Prefetch(vm, spec, rank))
+        return chosen
+
+    def _may_load(self, spec) -> bool:
+        """Lets only as many VMs load at once as the weight store feeds."""
+        if not self._policy.orders_loads:
+            return True
+        loading = self._loading_vms
+        return not loading or (
+            loading + spec.vms_per_copy <= spec.load_vms_max
+        )
+
+    def _reform(self, copy, spec, chosen, reason: str) -> None:
+        vms = tuple(chosen.get(vm, vm) for vm in copy.vms)
+        self._actions.append(_state.Reform(copy, spec, vms, reason))
+        self._touched.add(copy.copy_id)
+        if copy.state is not CopyState.LOADING:
+            self._loading_vms += len(vms)
+
+    def _is_extra(self, copy, spec) -> bool:
+        """Tells whether a copy stands beyond the declared number."""
+        serving = [
+            item
+            for item in self._by_group[copy.group]
+            if item.state is CopyState.SERVING
+            and not self._missing[item.copy_id]
+            and item.copy_id not in self._touched
+        ]
+        return len(serving) > spec.copies
+
+    def _take(self, copy, spec, outage, needed: int) -> None:
+        """Takes VMs from a copy whose outage costs less."""
+        if any(map(self._usable, self._releasing)):
+            return  # VMs are about to be free
+        mine = _policy.cost_rate(spec, spec.vms_per_copy)
+        for donor in reversed(self._by_cost()):
+            donor_spec = self._view.specs.get(donor.group)
+            if (
+                donor_spec is None
+                or donor.copy_id == copy.copy_id
+                or donor.copy_id in self._touched
+                or sum(map(self._usable, donor.vms)) < needed
+            ):
                 continue
-            if donor.copy_id in self._touched:
+            if donor.state is CopyState.DRAINING:
+                self._given_up_drains.add(donor.copy_id)
+                return
+            if self._missing[donor.copy_id]:
+                if self._is_worse_off(copy, spec, outage, donor, donor_spec):
+                    self._give_up(donor, f'taken for {copy.copy_id}')
+                    return
                 continue
+            theirs = _policy.cost_rate(donor_spec, donor_spec.vms_per_copy)
+            extra = self._is_extra(donor, donor_spec)
+            if (extra or theirs < mine) and self._policy.take_pays(
+                spec, donor_spec, extra, outage, self._view.now
+            ):
+                self._give_up(donor, f'taken for {copy.copy_id}')
+                return
+
+    def _take_early(self, copy, spec, outage) -> None:
+        """Drains an extra copy while the missing member may still return."""
+        for donor in reversed(self._by_cost()):
             donor_spec = self._view.specs.get(donor.group)
-            broken = bool(self._missing(donor))
-            worth = donor_spec.value if donor_spec else 0.0
-            enough = sum(map(self._usable, donor.vms)) >= needed
-            if not enough:
-                continue
             if (
-                broken
-                and worth <= spec.value
-                and (
-                    len(self._missing(donor)) >= spec.vms_per_copy - len(keep)
+                donor_spec is not None
+                and donor.copy_id not in self._touched
+                and donor.state is CopyState.SERVING
+                and not self._missing[donor.copy_id]
+                and self._is_extra(donor, donor_spec)
+                and not self._is_taking()
+                and self._policy.early_take_pays(
+                    spec, donor_spec, outage, self._view.now
                 )
             ):
-                self._dissolve(donor, f'taken for {copy.copy_id}')
-                return
-            if not broken and worth * TAKE_GAIN < spec.value:
-                self._drain(donor, f'taken for {copy.copy_id}')
+                self._give_up(donor, f'may be taken for {copy.copy_id}')
                 return
 
-    def _dissolve(self, copy, reason: str) -> None:
-        self._actions.append(_state.Dissolve(copy, reason))
-        self._touched.add(copy.copy_id)
+    def _is_taking(self) -> bool:
+        """Tells whether VMs of a copy given up are about to be free."""
+        return any(
+            copy.state is CopyState.DRAINING
+            and all(map(self._usable, copy.vms))
+            for copy in self._view.copies.values()
+        ) or any(map(self._usable, self._releasing))
+
+    def _is_worse_off(self, copy, spec, outage, donor, donor_spec) -> bool:
+        """Tells whether another broken copy should give way."""
+        if not self._policy.may_take:
+            return False
+        mine = _policy.cost_rate(spec, spec.vms_per_copy)
+        theirs = _policy.cost_rate(donor_spec, donor_spec.vms_per_copy)
+        return (theirs, -len(self._missing[donor.copy_id]), copy.copy_id) < (
+            mine,
+            -len(outage.missing),
+            donor.copy_id,
+        )
 
-    def _reform(self, copy, spec, keep, reason: str) -> None:
-        vms = keep[: spec.vms_per_copy]
-        while len(vms) < spec.vms_per_copy:
-            vms.append(self._free.popleft())
-        self._actions.append(_state.Reform(copy, spec, tuple(vms), reason))
-        self._touched.add(copy.copy_id)
+    def _specs_by_cost(self) -> list:
+        def rank(spec):
+            rate = _policy.cost_rate(spec, spec.vms_per_copy)
+            return (-rate / spec.vms_per_copy, spec.name)
+
+        return sorted(self._view.specs.values(), key=rank)
 
     def _form_missing(self) -> None:
-        specs = sorted(
-            self._view.specs.values(), key=lambda s: (-s.value, s.name)
-        )
-        for spec in specs:
-            have = sum(
-                1
-                for copy in self._view.copies.values()
-                if copy.group == spec.name
-            )
+        """Forms declared copies, and clears room for them if need be."""
+        for spec in self._specs_by_cost():
+            have = len(self._by_group[spec.name])
             for _copy in range(spec.copies - have):
                 if len(self._free) < spec.vms_per_copy:
+                    self._clear_extra(spec)
                     break
-                vms = tuple(
-                    self._free.popleft() for _ in range(spec.vms_per_copy)
-                )
-                self._actions.append(_state.Form(spec, vms))
-
-
-def release_proven(hold, facts, now: float) -> str:
-    """Tells whether a releasing VM holds no role any more.
+                if not self._may_load(spec):
+                    return
+                self._form(spec)
+
+    def _clear_extra(self, spec) -> None:
+        """Gives up an extra copy if that makes room for a declared one."""
+        coming = sum(map(self._usable, self._releasing))
+        lacking = spec.vms_per_copy - len(self._free) - coming
+        if lacking <= 0:
+            return
+        extras = []
+        for copy in self._view.copies.values():
+            group = self._view.specs.get(copy.group)
+            if group is None or copy.copy_id in self._touched:
+                continue
+            if self._is_extra(copy, group):
+                extras.append(copy)
+        if sum(len(copy.members) for copy in extras) < lacking:
+            return
+        self._give_up(min(extras, key=_members_and_name), 'not declared')
+
+    def _form_extra(self) -> None:
+        """Puts idle VMs to work where that beats keeping them as spares."""
+        if self._short():
+            return  # declared copies come first
+        for spec in self._specs_by_cost():
+            have = max(len(self._by_group[spec.name]), spec.copies)
+            for _copy in range(spec.copies + spec.extra - have):
+                if (
+                    len(self._free) < spec.vms_per_copy
+                    or not self._may_load(spec)
+                    or not self._policy.extra_pays(
+                        self._view.specs.values(),
+                        len(self._view.holds),
+                        spec,
+                        len(self._free),
+                    )
+                ):
+                    break
+                self._form(spec)
 
-    Args:
-        hold: Row of the VM.
-        facts: What is known of the VM, ``None`` if it is not declared.
-        now: Monotonic seconds.
+    def _warm_idle(self) -> None:
+        """Lets idle VMs fetch weights of members they may have to replace."""
+        if not self._policy.prefetches or not self._specs_by_cost():
+            return
+        spec = max(
+            self._view.specs.values(),
+            key=lambda item: (
+                item.copies * _policy.cost_rate(item, item.vms_per_copy),
+                item.name,
+            ),
+        )
+        held = {self._view.vms[vm].sighting.seen.warm for vm in self._free}
+        ranks = [
+            rank
+            for rank in range(spec.vms_per_copy)
+            if spec.warm_label(rank) not in held
+        ]
+        labels = {spec.warm_label(rank) for rank in range(spec.vms_per_copy)}
+        for vm in self._free:
+            if not ranks:
+                return
+            if self._view.vms[vm].sighting.seen.warm not in labels:
+                self._prefetches.append(
+                    _state.Prefetch(vm, spec, ranks.pop(0))
+                )
 
-    Returns:
-        The proof as a word, empty if there is none.
-    """
-    if facts is None or (not facts.listed and facts.lost_since is not None):
-        return 'gone' if facts is not None else ''
-    sighting = facts.sighting
-    if facts.lost_since is not None or sighting is None:
-        return ''
-    if not facts.checks_fencing and (
-        now < facts.orders_clear_at or sighting.at < facts.orders_clear_at
-    ):
-        return ''
-    if sighting.seen.role != 'idle' or sighting.seen.copy_id:
-        return ''
-    if hold.boot and sighting.seen.boot != hold.boot:
-        return 'new boot'
-    return 'idle'
-
-
-def orders_due(view: _state.ShardView) -> list[_state.Order]:
-    """Lists the orders that bring engines to the state in the table.
+    def _form(self, spec) -> None:
+        vms = []
+        for rank in range(spec.vms_per_copy):
+            vm = next(
+                (vm for vm in self._free if self._is_warm(spec, vm, rank)),
+                self._free[0],
+            )
+            self._free.remove(vm)
+            vms.append(vm)
+        self._actions.append(_state.Form(spec, tuple(vms)))
+        self._loading_vms += len(vms)
 
-    Args:
-        view: State of the fabric domain after its actions.
 
-    Returns:
-        Orders; repeating one that has been carried out is harmless.
-    """
-    due = []
-    for copy in view.copies.values():
-        due += _copy_orders(view, copy)
-    for vm, hold in view.holds.items():
-        facts = view.vms.get(vm)
-        if not hold.releasing or facts is None or facts.sighting is None:
-            continue
-        seen = facts.sighting.seen
-        if seen.ok and (seen.role != 'idle' or seen.copy_id):
-            due.append(_state.Order('unload', vm, seen.copy_id, hold.token))
-    return due
-
-
-def _copy_orders(view, copy) -> list[_state.Order]:
-    due = []
-    for index, member in enumerate(copy.members):
-        facts = view.vms.get(member.vm)
-        if facts is None or facts.sighting is None:
-            continue
-        seen = facts.sighting.seen
-        if not seen.ok:
-            continue
-        is_ours = (seen.copy_id, seen.token) == (copy.copy_id, copy.token)
-        if copy.state is CopyState.LOADING and not is_ours:
-            due.append(
-                _state.Order('load', member.vm, copy.copy_id, copy.token, copy)
-            )
-        elif copy.state is CopyState.DRAINING and is_ours and index == 0:
-            if seen.role == 'ready':
-                due.append(
-                    _state.Order('drain', member.vm, copy.copy_id, copy.token)
-                )
-    return due
+def _members_and_name(copy) -> tuple:
+    return (len(copy.members), copy.copy_id)
--- a/plantainway/groups/_returns.py
+++ b/plantainway/groups/_returns.py
@@ -4,13 +4,23 @@
 
 SAMPLES_MAX = 512
 PRIOR_S = (2.0, 5.0, 20.0, 60.0, 300.0, float('inf'))
+PRIOR_LOSSES = 1.0
+PRIOR_EXPOSURE_S = 2 * 86400.0  # one loss in two days
+FOREVER_S = 3600.0  # planning horizon for an absence that may never end
 
 
 class ReturnModel:
-    """Outage lengths in seconds; infinity for a VM that never returned."""
+    """Lengths in seconds of absences that ended with the same boot.
+
+    A VM that came back with a new boot, or never, did not return in this
+    sense: its copy had to be loaded anew in any case, and its absence
+    counts as infinite.
+    """
 
     def __init__(self):
-        self._samples = collections.deque(maxlen=SAMPLES_MAX)
+        self._samples = collections.deque(PRIOR_S, maxlen=SAMPLES_MAX)
+        self._losses = PRIOR_LOSSES
+        self._exposure_s = PRIOR_EXPOSURE_S
 
     def add(self, away_s: float) -> None:
         """Takes in one finished absence.
@@ -19,10 +29,35 @@
             away_s: Its length in seconds, infinite if it was final.
         """
         self._samples.append(away_s)
+        if away_s == float('inf'):
+            self._losses += 1
+
+    def watched(self, vm_seconds: float) -> None:
+        """Takes in for how long VMs were under watch.
+
+        Args:
+            vm_seconds: Number of VMs times seconds.
+        """
+        self._exposure_s += vm_seconds
+
+    def losses_per_vm_s(self) -> float:
+        """Returns the rate of losses that need a load, for each VM."""
+        return self._losses / self._exposure_s
 
     def samples(self) -> tuple[float, ...]:
         """Returns the lengths to plan with, a prior included."""
-        return PRIOR_S + tuple(self._samples)
+        return tuple(self._samples)
+
+    def expected_s(self, away_s: float) -> float:
+        """Returns the expected rest of an absence, bounded by an hour.
+
+        Args:
+            away_s: Its length so far in seconds.
+        """
+        longer = [x - away_s for x in self._samples if x > away_s]
+        if not longer:
+            return FOREVER_S
+        return sum(min(x, FOREVER_S) for x in longer) / len(longer)
 
 
 def best_wait_s(samples, away_s: float, repair_s: float) -> float:
@@ -42,19 +77,17 @@
         Total length of the absence, in seconds, at which to repair.
     """
     longer = sorted(length for length in samples if length > away_s)
-    if not longer:
-        return away_s
-    best = away_s
-    best_cost = repair_s
     total = len(longer)
+    best = away_s
+    best_cost = repair_s * total
     waited = 0.0
     for index, length in enumerate(longer):
         wait_s = length - away_s
-        if length > repair_s:
+        if wait_s > repair_s:
             break
         waited += wait_s
         left = total - index - 1
-        cost = (waited + left * (wait_s + repair_s)) / total
+        cost = waited + left * (wait_s + repair_s)
         if cost < best_cost:
             best_cost = cost
             best = length
--- a/plantainway/groups/_shard.py
+++ b/plantainway/groups/_shard.py
@@ -9,6 +9,8 @@
 import time
 
 from plantainway import errors
+from plantainway.groups import _allotment
+from plantainway.groups import _apply
 from plantainway.groups import _lease
 from plantainway.groups import _state
 from plantainway import platform
@@ -152,28 +154,32 @@
             if row.value['shard'] == self.shard
         }
 
-    async def allotted(self) -> dict[str, int]:
-        """Returns how many copies of each group this shard should have.
+    async def allotted(self) -> _allotment.Allotment:
+        """Returns what this shard should have.
 
         Raises:
             StoreUnavailableError: If the table gave no answer.
         """
         row = await self._table.read(ALLOT_PREFIX + self.shard)
-        return row.value['copies'] if row else {}
+        if row is None:
+            return _allotment.Allotment({}, {})
+        return _allotment.Allotment(**row.value)
 
     async def write_allotment(self, domains: dict) -> None:
         """Writes what every fabric domain should have.
 
         Args:
-            domains: By domain, the number of copies of each group.
+            domains: Allotment by domain.
 
         Raises:
             LeaseLostError: If the lease is held no more.
             StoreUnavailableError: If the table gave no answer.
         """
         writes = tuple(
-            platform.Write(ALLOT_PREFIX + domain, {'copies': copies})
-            for domain, copies in sorted(domains.items())
+            platform.Write(
+                ALLOT_PREFIX + domain, dataclasses.asdict(allotment)
+            )
+            for domain, allotment in sorted(domains.items())
         )
         await self._commit(self.lease.renewed(), (), writes)
 
@@ -218,85 +224,18 @@
             ConflictError: If a row was changed by another shard.
             StoreUnavailableError: If the table gave no answer.
         """
-        copies, holds = _APPLY[type(action)](self, action)
-        if not copies and not holds:
-            return
+        changes = _apply.apply_action(
+            self.shard,
+            self.copies,
+            self.holds,
+            action,
+            self.lease.next_copy,
+        )
         audit = {
             'kind': type(action).__name__.lower(),
             'reason': getattr(action, 'reason', ''),
         }
-        await self._write(copies, holds, audit)
-
-    def _form(self, action) -> tuple:
-        number = self.lease.next_copy
-        copy = _state.Copy(
-            f'{self.shard}-c{number}',
-            action.spec.name,
-            self.shard,
-            action.spec.version,
-            number,
-            CopyState.LOADING,
-            tuple(_state.Member(vm) for vm in action.vms),
-        )
-        return [copy], [self._claimed(vm, copy) for vm in action.vms]
-
-    def _reform(self, action) -> tuple:
-        old = self.copies[action.copy.copy_id]
-        copy = dataclasses.replace(
-            old,
-            version=action.spec.version,
-            token=self.lease.next_copy,
-            state=CopyState.LOADING,
-            members=tuple(_state.Member(vm) for vm in action.vms),
-        )
-        holds = [self._claimed(vm, copy) for vm in action.vms]
-        holds += [
-            self._releasing(vm) for vm in old.vms if vm not in action.vms
-        ]
-        return [copy], holds
-
-    def _mark_serving(self, action) -> tuple:
-        old = self.copies[action.copy.copy_id]
-        members = tuple(
-            _state.Member(member.vm, boot)
-            for member, boot in zip(old.members, action.boots, strict=True)
-        )
-        copy = dataclasses.replace(
-            old, state=CopyState.SERVING, members=members
-        )
-        holds = [
-            dataclasses.replace(self.holds[member.vm], boot=member.boot)
-            for member in members
-        ]
-        return [copy], holds
-
-    def _drain(self, action) -> tuple:
-        old = self.copies[action.copy.copy_id]
-        return [dataclasses.replace(old, state=CopyState.DRAINING)], []
-
-    def _dissolve(self, action) -> tuple:
-        old = self.copies[action.copy.copy_id]
-        gone = dataclasses.replace(old, members=())
-        return [gone], [self._releasing(vm) for vm in old.vms]
-
-    def _free(self, action) -> tuple:
-        hold = self.holds[action.vm]
-        return [], [
-            dataclasses.replace(
-                hold, copy_id='', releasing=False, boot=action.boot
-            )
-        ]
-
-    def _claimed(self, vm: str, copy) -> _state.Hold:
-        hold = self.holds[vm]
-        if not hold.free and hold.copy_id != copy.copy_id:
-            raise errors.ConflictError([f'vm/{vm}'], 'claim')
-        return dataclasses.replace(
-            hold, copy_id=copy.copy_id, token=copy.token, releasing=False
-        )
-
-    def _releasing(self, vm: str) -> _state.Hold:
-        return dataclasses.replace(self.holds[vm], copy_id='', releasing=True)
+        await self._write(changes.copies, changes.holds, audit)
 
     async def _write(self, copies, holds, audit) -> None:
         before = self.lease
@@ -393,13 +332,3 @@
     value = dataclasses.asdict(hold)
     del value['row_version']
     return value
-
-
-_APPLY = {
-    _state.Form: ShardStore._form,
-    _state.Reform: ShardStore._reform,
-    _state.MarkServing: ShardStore._mark_serving,
-    _state.Drain: ShardStore._drain,
-    _state.Dissolve: ShardStore._dissolve,
-    _state.Free: ShardStore._free,
-}
--- a/plantainway/groups/_state.py
+++ b/plantainway/groups/_state.py
@@ -66,11 +66,26 @@
         return not self.copy_id and not self.releasing
 
 
+def warm_label(weights: str, rank: int, members: int) -> str:
+    """Returns the name of one member's part of a set of weights.
+
+    Args:
+        weights: Name of the weights.
+        rank: Place of the member in the copy.
+        members: Members of a copy.
+    """
+    return f'{weights}/{rank}/{members}'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupSpec:
     """What the declared objects ask of one fabric domain for one group.
 
-    ``load_s`` is the expected time to load one copy in seconds.
+    ``extra`` more copies than ``copies`` may stand where VMs would be idle
+    otherwise. Times are expected ones in seconds: ``load_s`` to fetch the
+    weights of one member, ``join_s`` from there until the copy serves,
+    ``drain_s`` until the requests in progress have ended. ``load_vms_max``
+    is how many VMs the weight store feeds at full speed.
     """
 
     name: str
@@ -83,6 +98,18 @@
     stranded_weight: float
     value: float
     load_s: float
+    extra: int = 0
+    join_s: float = 0.0
+    drain_s: float = 0.0
+    load_vms_max: int = 1000000
+
+    def warm_label(self, rank: int) -> str:
+        """Returns what an engine shows that has a rank's weights.
+
+        Args:
+            rank: Place of the member in the copy.
+        """
+        return warm_label(self.weights, rank, self.vms_per_copy)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,12 +211,38 @@
     proof: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prefetch:
+    """Let a free VM fetch the weights of a member it may replace."""
+
+    vm: str
+    spec: GroupSpec
+    rank: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Outcome of planning one fabric domain.
+
+    ``wake_at`` is the monotonic time at which to plan again even if
+    nothing has changed, infinite for never.
+    """
+
+    actions: tuple
+    prefetches: tuple[Prefetch, ...]
+    wake_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
-    """An order to send to an engine; ``name`` is load, unload or drain."""
+    """An order to send to an engine.
+
+    ``name`` is load, unload, drain or prefetch.
+    """
 
     name: str
     vm: str
     copy_id: str
     token: int
     copy: Copy | None = None
+    prefetch: Prefetch | None = None
--- a/plantainway/groups/_watch.py
+++ b/plantainway/groups/_watch.py
@@ -122,6 +122,7 @@
             str(state.role),
             state.leaving,
             state.slots,
+            state.warm,
         )
         self._loads[vm] = [state.running, state.waiting]
         changed = self._board.set_own(vm, seen, sent_at)
--- a/plantainway/objects/_models.py
+++ b/plantainway/objects/_models.py
@@ -50,6 +50,7 @@
     model_version: Name
     adapters: list[Name] = []
     copies: int = pydantic.Field(ge=0, le=10000)
+    extra_copies: int = pydantic.Field(ge=0, le=10000, default=0)
     vms_per_copy: int = pydantic.Field(ge=1, le=1024)
     fabric_domains: list[Name] = pydantic.Field(min_length=1)
     downtime_weight: Weight = 1.0
--- a/plantainway/platform/_http.py
+++ b/plantainway/platform/_http.py
@@ -195,5 +195,8 @@
             f'/weights/{urllib.parse.quote(weights)}', 'weights_describe'
         )
         return _stores.WeightInfo(
-            weights, found['size_bytes'], found['rate_bytes_per_second']
+            weights,
+            found['size_bytes'],
+            found['rate_bytes_per_second'],
+            found['reader_bytes_per_second'],
         )
--- a/plantainway/platform/_stores.py
+++ b/plantainway/platform/_stores.py
@@ -78,11 +78,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightInfo:
-    """Size of a set of weights and the rate the store gives all readers."""
+    """Size of a set of weights, and the store's rates.
+
+    ``rate_bytes_per_second`` is what all readers share,
+    ``reader_bytes_per_second`` the most that one of them gets.
+    """
 
     weights: str
     size_bytes: int
     rate_bytes_per_second: int
+    reader_bytes_per_second: int
 
 
 class BaseWeightStore(abc.ABC):
--- a/plantainway/standins/_engine.py
+++ b/plantainway/standins/_engine.py
@@ -129,7 +129,8 @@
         self.role = 'idle'
         self.version = ''
         self.members = []
-        self._weights = ('', -1)
+        self.warm = ''
+        self._fetching = False
         self._floor = 0  # no load with this or an older token is taken
         self._running = 0
         self._waiting: list = []
@@ -196,6 +197,7 @@
         app.router.add_get('/state', self._state)
         app.router.add_post('/v1/chat/completions', self._chat)
         app.router.add_post('/orders/load', self._load)
+        app.router.add_post('/orders/prefetch', self._prefetch)
         app.router.add_post('/orders/unload', self._unload)
         app.router.add_post('/orders/drain', self._drain)
         app.router.add_post('/orders/resume', self._resume)
@@ -232,6 +234,7 @@
                 'waiting': waiting,
                 'slots': self.slots,
                 'leaving': self.leaving,
+                'warm': self.warm,
             }
         )
 
@@ -258,15 +261,32 @@
 
     async def _do_load(self, order) -> None:
         token = order['token']
-        wanted = (order['weights'], order['rank'])
-        weights = self._fleet.weights
-        if self._weights != wanted and weights is not None:
-            size = weights.sizes.get(order['weights'], 0)
-            await weights.transfer(size // max(len(self.members), 1))
-        self._weights = wanted
+        await self._fetch(order, len(self.members))
         if self.token == token and self.role == 'loading':
             self.role = 'ready'
 
+    async def _fetch(self, order, members: int) -> None:
+        label = order.get('warm') or f'{order["weights"]}/{order["rank"]}'
+        weights = self._fleet.weights
+        if self.warm != label and weights is not None:
+            size = weights.sizes.get(order['weights'], 0)
+            await weights.transfer(size // max(members, 1))
+        self.warm = label
+
+    async def _prefetch(self, request):
+        order = await request.json()
+        self.orders.append({'name': 'prefetch', **order})
+        if self.role == 'idle' and not self._fetching:
+            self._fetching = True
+            self._spawn(self._do_prefetch(order))
+        return web.json_response({'accepted': True})
+
+    async def _do_prefetch(self, order) -> None:
+        try:
+            await self._fetch(order, order['members'])
+        finally:
+            self._fetching = False
+
     def _refused(self):
         return web.json_response(
             {'code': 'fenced', 'token': max(self.token, self._floor)},
--- a/plantainway/standins/_platform.py
+++ b/plantainway/standins/_platform.py
@@ -159,7 +159,9 @@
             raise errors.StoreUnavailableError('outage', 'weights_describe')
         if weights not in self.sizes:
             raise errors.NotFoundError(weights, 'weights_describe')
-        return platform.WeightInfo(weights, self.sizes[weights], self.rate)
+        return platform.WeightInfo(
+            weights, self.sizes[weights], self.rate, self.rate
+        )
 
     async def transfer(self, size_bytes: int) -> None:
         """Waits as long as a transfer takes behind all earlier ones.
@@ -278,6 +280,7 @@
             {
                 'size_bytes': info.size_bytes,
                 'rate_bytes_per_second': info.rate_bytes_per_second,
+                'reader_bytes_per_second': info.reader_bytes_per_second,
             }
         )
 
--- a/plantainway/upstreams/__init__.py
+++ b/plantainway/upstreams/__init__.py
@@ -5,6 +5,7 @@
 from plantainway.upstreams._engine import ChatEvent
 from plantainway.upstreams._engine import EngineState
 from plantainway.upstreams._engine import LoadOrder
+from plantainway.upstreams._engine import PrefetchOrder
 from plantainway.upstreams._engine import Role
 from plantainway.upstreams._http_engine import HttpEngine
 from plantainway.upstreams._service import BaseService
--- a/plantainway/upstreams/_engine.py
+++ b/plantainway/upstreams/_engine.py
@@ -21,7 +21,8 @@
     """What an engine says of itself.
 
     ``running`` and ``waiting`` count requests and may lag; ``leaving``
-    tells that the engine asked to be taken out.
+    tells that the engine asked to be taken out; ``warm`` names the
+    weights it holds, as the order that fetched them did.
     """
 
     vm: str
@@ -34,6 +35,7 @@
     waiting: int
     slots: int
     leaving: bool
+    warm: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,20 @@
     version: str
     weights: str
     adapters: tuple[str, ...]
+    warm: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefetchOrder:
+    """Order to fetch a member's weights without taking a role.
+
+    ``warm`` is the name under which the engine reports them.
+    """
+
+    weights: str
+    rank: int
+    members: int
+    warm: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +125,17 @@
             UpstreamError: If it can't be told whether it arrived.
         """
 
+    @abc.abstractmethod
+    async def prefetch(self, order: PrefetchOrder) -> None:
+        """Orders an idle engine to fetch weights; a busy one ignores it.
+
+        Args:
+            order: What to fetch; repeating it is harmless.
+
+        Raises:
+            UpstreamError: If it can't be told whether it arrived.
+        """
+
     @abc.abstractmethod
     async def unload(self, copy_id: str, token: int) -> None:
         """Orders the engine to give up its role in a copy.
--- a/plantainway/upstreams/_http_engine.py
+++ b/plantainway/upstreams/_http_engine.py
@@ -1,5 +1,6 @@
 """HTTP client of a model engine."""
 
+import dataclasses
 import time
 import typing
 
@@ -68,9 +69,14 @@
                 'version': order.version,
                 'weights': order.weights,
                 'adapters': list(order.adapters),
+                'warm': order.warm,
             },
         )
 
+    async def prefetch(self, order: _engine.PrefetchOrder) -> None:
+        """Orders a fetch of weights; see the base class."""
+        await self._order('prefetch', dataclasses.asdict(order))
+
     async def unload(self, copy_id: str, token: int) -> None:
         """Orders an unload; see the base class."""
         await self._order('unload', {'copy_id': copy_id, 'token': token})
--- a/plantainway/wire/_messages.py
+++ b/plantainway/wire/_messages.py
@@ -45,7 +45,8 @@
 class SeenVm:
     """State of one VM as its watcher last saw it.
 
-    ``ok`` is false while the watcher can't reach it.
+    ``ok`` is false while the watcher can't reach it. ``warm`` names the
+    weights that an idle engine holds.
     """
 
     ok: bool
@@ -55,6 +56,7 @@
     role: str
     leaving: bool
     slots: int = 0
+    warm: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/benchmarks/test_groups.py
@@ -0,0 +1,74 @@
+"""The replay and its independent check."""
+
+import pytest
+
+from benchmarks import _trace
+from benchmarks import groups
+
+
+def absent(trace):
+    """A member is away while its copy gets work."""
+    trace.down(5.0, 'vm-1')
+    trace.up(9.0, 'vm-1', True)
+
+
+def absent_briefly(trace):
+    """A member is away for less than the watch deadline."""
+    trace.down(5.0, 'vm-1')
+    trace.up(7.0, 'vm-1', True)
+
+
+def claimed_by_another(trace):
+    """A member's row names another copy while it serves."""
+    trace.hold(5.0, 'vm-1', 'c2')
+
+
+def served_by_another(trace):
+    """A VM serves in two copies at once."""
+    trace.serve(5.0, 'c2', 'g', ['vm-2', 'vm-3'])
+
+
+def nothing(trace):
+    """Nothing happens."""
+
+
+@pytest.mark.parametrize(
+    'plant, broken',
+    [
+        (nothing, False),
+        (absent_briefly, False),
+        (absent, True),
+        (claimed_by_another, True),
+        (served_by_another, True),
+    ],
+)
+def test_check_finds_planted_violations(plant, broken):
+    """The check sees each kind of breach."""
+    trace = _trace.Trace()
+    for vm in ('vm-1', 'vm-2'):
+        trace.hold(0.0, vm, 'c1')
+    trace.serve(1.0, 'c1', 'g', ['vm-1', 'vm-2'])
+    plant(trace)
+    trace.end(20.0)
+    assert bool(trace.violations()) == broken
+
+
+@pytest.mark.parametrize('policy', groups.POLICIES)
+def test_replay_has_no_violations(policy):
+    """Every policy keeps the promises, and the same seed the figures."""
+    first = groups.run_one('today', 7, policy, 'lodz')
+    assert first['violations'] == 0
+    again = groups.run_one('today', 7, policy, 'lodz')
+    first.pop('decision_us')
+    again.pop('decision_us')
+    assert first == again
+
+
+def test_broken_guard_is_seen(monkeypatch):
+    """A node that ignores sightings breaks a promise in the replay."""
+
+    def always(copy, sighting_of):
+        return groups.groups.Verdict(copy.state == 'serving', 'broken guard')
+
+    monkeypatch.setattr(groups.groups, 'may_send', always)
+    assert groups.run_one('today', 7, 'wait', 'lodz')['violations'] > 0
--- /dev/null
+++ b/tests/groups/test_lease.py
@@ -0,0 +1,198 @@
+"""Leases and the commits made under them."""
+
+import pytest
+
+from plantainway import clock
+from plantainway import errors
+from plantainway import groups
+from plantainway.groups import _lease
+from plantainway import platform
+from plantainway import standins
+
+SPEC = groups.GroupSpec('g', 'v', 'w', (), 1, 2, 1.0, 1.0, 1.0, 10.0)
+
+
+class Shard:
+    """A shard in a table, and holders on two nodes."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.table = standins.MemoryTable()
+        self.one = self.store('n1')
+        self.two = self.store('n2')
+
+    def store(self, node):
+        """Returns a holder."""
+        return groups.ShardStore('f', node, 1, self.table, self.clock)
+
+    async def take(self, store):
+        """Lets a holder take the lease, after the term if need be."""
+        await store.observe()
+        while not store.observer.lapsed(self.clock.now()):
+            self.clock.advance(1.0)
+            await store.observe()
+        assert await store.take()
+
+    async def with_vms(self):
+        """Returns the first holder with two free VMs."""
+        await self.take(self.one)
+        for vm in ('vm-1', 'vm-2'):
+            assert await self.one.add_vm(vm)
+        return self.one
+
+
+FORM = groups.Form(SPEC, ('vm-1', 'vm-2'))
+
+
+async def test_observer_waits_the_whole_term():
+    """A renewed row starts the term anew; a handed back one is free."""
+    shard = Shard()
+    await shard.take(shard.one)
+    await shard.two.observe()
+    shard.clock.advance(groups.LEASE_TERM_S - 0.1)
+    assert not shard.two.observer.lapsed(shard.clock.now())
+    assert not shard.one.held
+    await shard.two.observe()
+    shard.clock.advance(0.2)
+    assert shard.two.observer.lapsed(shard.clock.now())
+    assert not shard.two.observer.lapsed(shard.clock.now(), 1.0)
+    shard.one.lease = None
+    await shard.take(shard.two)
+    await shard.two.hand_back()
+    await shard.one.observe()
+    assert shard.one.observer.lapsed(shard.clock.now())
+
+
+async def paused_past_deadline(shard):
+    """The holder is paused past its deadline; nobody took over."""
+    shard.clock.advance(groups.LEASE_TERM_S)
+
+
+async def paused_and_replaced(shard):
+    """Another node took over while the holder was paused."""
+    await shard.take(shard.two)
+
+
+async def replaced_and_clock_frozen(shard):
+    """Another node took over, and the holder's clock did not move."""
+    await shard.take(shard.two)
+    shard.one.deadline = shard.clock.now() + 100.0
+
+
+async def request_lost(shard):
+    """The commit is lost on its way once."""
+    shard.table.faults.lost_requests = 1
+
+
+async def reply_lost(shard):
+    """The commit takes effect and its reply is lost."""
+    shard.table.faults.lost_replies = 1
+
+
+async def table_down(shard):
+    """The table is down."""
+    shard.table.faults.outage = True
+
+
+async def no_fault(shard):
+    """Nothing happens."""
+
+
+@pytest.mark.parametrize(
+    'fault, error, formed',
+    [
+        (no_fault, None, True),
+        (paused_past_deadline, errors.LeaseLostError, False),
+        (paused_and_replaced, errors.LeaseLostError, False),
+        (replaced_and_clock_frozen, errors.LeaseLostError, False),
+        (request_lost, None, True),
+        (reply_lost, None, True),
+        (table_down, errors.StoreUnavailableError, False),
+    ],
+)
+async def test_claim_under_faults(fault, error, formed):
+    """A claim takes effect whole and once, or not at all."""
+    shard = Shard()
+    store = await shard.with_vms()
+    await fault(shard)
+    if error is None:
+        await store.apply(FORM)
+    else:
+        with pytest.raises(error):
+            await store.apply(FORM)
+    shard.table.faults.outage = False
+    rows = await shard.table.scan('')
+    copies = [row for row in rows if row.key.startswith('copy/')]
+    owners = {
+        row.value['copy_id'] for row in rows if row.key.startswith('vm/')
+    }
+    assert len(copies) == int(formed)
+    assert owners == ({'f-c1'} if formed else {''})
+    assert store.lease is None or store.copies.keys() == (
+        {'f-c1'} if formed else set()
+    )
+
+
+async def test_paused_holder_without_any_recheck():
+    """Even without its own deadline check a former holder can't commit."""
+    shard = Shard()
+    store = await shard.with_vms()
+    await shard.take(shard.two)
+    store.check = lambda: None
+    with pytest.raises(errors.LeaseLostError):
+        await store.apply(FORM)
+    assert await shard.table.scan('copy/') == []
+
+
+async def test_new_holder_reads_what_was_committed():
+    """The next holder goes on from the rows, with a higher token."""
+    shard = Shard()
+    store = await shard.with_vms()
+    await store.apply(FORM)
+    await shard.take(shard.two)
+    assert shard.two.copies == store.copies
+    assert shard.two.holds == store.holds
+    assert shard.two.token == store.token + 1
+    assert shard.two.lease.next_copy == 2
+
+
+async def test_vm_claimed_by_another_shard():
+    """A VM row belongs to one shard; another can't create or claim it."""
+    shard = Shard()
+    await shard.with_vms()
+    other = groups.ShardStore('f2', 'n2', 1, shard.table, shard.clock)
+    await shard.take(other)
+    assert not await other.add_vm('vm-1')
+    # A row changed behind the holder's back makes the claim fail whole.
+    row = await shard.table.read('vm/vm-2')
+    shard.table.apply(
+        platform.Transaction('x', (), (platform.Write(row.key, row.value),))
+    )
+    with pytest.raises(errors.ConflictError):
+        await shard.one.apply(FORM)
+    assert await shard.table.scan('copy/') == []
+
+
+async def test_claim_needs_free_vms():
+    """A held or releasing VM can't be claimed."""
+    shard = Shard()
+    store = await shard.with_vms()
+    await store.apply(FORM)
+    with pytest.raises(errors.ConflictError):
+        await store.apply(FORM)
+    copy = store.copies['f-c1']
+    await store.apply(groups.Dissolve(copy, 'test'))
+    with pytest.raises(errors.ConflictError):
+        await store.apply(FORM)
+    for vm in ('vm-1', 'vm-2'):
+        await store.apply(groups.Free(vm, 'b', 'idle'))
+    await store.apply(FORM)
+    assert set(store.copies) == {'f-c2'}
+
+
+def test_holder_stops_before_observers_act():
+    """The holder's deadline lies before any observer's."""
+    sent_at = 100.0
+    observer = _lease.LeaseObserver()
+    observer.observe(1, 'n1', sent_at)
+    assert not observer.lapsed(_lease.holder_deadline(sent_at))
--- /dev/null
+++ b/tests/groups/test_planner.py
@@ -0,0 +1,448 @@
+"""Decisions about the copies of a fabric domain."""
+
+import dataclasses
+import math
+
+import pytest
+
+from plantainway import groups
+from plantainway import wire
+
+NOW = 1000.0
+SPEC = groups.GroupSpec(
+    'big', 'v', 'w', (), 1, 2, 1.0, 1.0, 1.0, 10.0, 0, 3.0, 5.0
+)
+SMALL = dataclasses.replace(SPEC, name='small', vms_per_copy=1, value=0.1)
+
+
+class Fixture:
+    """A fabric domain that can be bent out of shape."""
+
+    def __init__(self, copies=1, spares=1, specs=(SPEC,)):
+        self.specs = {spec.name: spec for spec in specs}
+        self.copies = {}
+        self.holds = {}
+        self.vms = {}
+        for number in range(1, copies + 1):
+            self.add_copy(f'f-c{number}', specs[0])
+        for number in range(spares):
+            self.add_vm(f'spare-{number}')
+
+    def add_vm(self, vm, copy_id='', token=0, role='idle'):
+        """Adds a VM that is up."""
+        self.holds[vm] = groups.Hold(
+            vm, 'f', copy_id, token, boot='b' if copy_id else ''
+        )
+        seen = wire.SeenVm(True, 'b', copy_id, token, role, False, 8)
+        self.vms[vm] = groups.VmFacts(
+            vm,
+            '',
+            True,
+            False,
+            True,
+            groups.Sighting(seen, NOW, 'w'),
+            None,
+            0.0,
+        )
+
+    def add_copy(self, copy_id, spec, state='serving'):
+        """Adds a copy whose members are ready."""
+        vms = [f'{copy_id}-{n}' for n in range(spec.vms_per_copy)]
+        boot = '' if state == 'loading' else 'b'
+        self.copies[copy_id] = groups.Copy(
+            copy_id,
+            spec.name,
+            'f',
+            'v',
+            1,
+            groups.CopyState(state),
+            tuple(groups.Member(vm, boot) for vm in vms),
+        )
+        for vm in vms:
+            self.add_vm(vm, copy_id, 1, 'ready')
+
+    def seen(self, vm, **changes):
+        """Changes what was seen of a VM."""
+        facts = self.vms[vm]
+        seen = dataclasses.replace(facts.sighting.seen, **changes)
+        self.facts(vm, sighting=dataclasses.replace(facts.sighting, seen=seen))
+
+    def facts(self, vm, **changes):
+        """Changes what is known of a VM."""
+        self.vms[vm] = dataclasses.replace(self.vms[vm], **changes)
+
+    def lose(self, vm, away_s=0.0, **changes):
+        """Loses a VM some time ago."""
+        lost = wire.SeenVm(False, '', '', 0, '', False)
+        self.facts(
+            vm,
+            lost_since=NOW - away_s,
+            sighting=groups.Sighting(lost, NOW, 'w'),
+            **changes,
+        )
+
+    def view(self):
+        """Returns the view."""
+        return groups.ShardView(
+            'f', self.copies, self.holds, self.specs, self.vms, NOW
+        )
+
+    def plan(self, policy=None):
+        """Plans with the planner unless told otherwise."""
+        return groups.plan(
+            self.view(),
+            policy or groups.PlannerPolicy(groups.ReturnModel()),
+        )
+
+
+def names(found):
+    """Returns the kinds of the planned actions."""
+    return [type(action).__name__ for action in found.actions]
+
+
+def test_nothing_to_do():
+    """A copy that serves is left alone."""
+    found = Fixture(spares=0).plan()
+    assert (found.actions, found.prefetches) == ((), ())
+    assert found.wake_at == math.inf
+
+
+def _loading(fix):
+    fix.copies.clear()
+    fix.holds.clear()
+    fix.add_copy('f-c1', SPEC, 'loading')
+
+
+def _one_still_loads(fix):
+    _loading(fix)
+    fix.seen('f-c1-1', role='loading')
+
+
+def _one_has_old_token(fix):
+    _loading(fix)
+    fix.seen('f-c1-1', token=0)
+
+
+def _one_unseen(fix):
+    _loading(fix)
+    fix.facts('f-c1-1', sighting=None)
+
+
+def _restarted(fix):
+    fix.seen('f-c1-1', boot='b2', role='idle', copy_id='', token=0)
+
+
+def _unseen(fix):
+    fix.facts('f-c1-1', sighting=None)
+
+
+def _lost_briefly(fix):
+    fix.lose('f-c1-1', 0.5)
+
+
+def _lost_warm_spare_long(fix):
+    fix.lose('f-c1-1', 500.0)
+    fix.seen('spare-0', warm=SPEC.warm_label(1))
+
+
+def _lost_and_unlisted(fix):
+    fix.lose('f-c1-1', 0.5, listed=False)
+
+
+def _lost_no_spare(fix):
+    fix.lose('f-c1-1', 500.0)
+    fix.seen('spare-0', leaving=True)
+
+
+def _leaving(fix):
+    fix.facts('f-c1-1', leaving=True)
+
+
+def _engine_leaving(fix):
+    fix.seen('f-c1-1', leaving=True)
+
+
+def _new_version(fix):
+    fix.specs['big'] = dataclasses.replace(SPEC, version='v2')
+
+
+def _not_declared(fix):
+    fix.specs.clear()
+
+
+def _fewer_declared(fix):
+    fix.specs['big'] = dataclasses.replace(SPEC, copies=0)
+
+
+def _more_declared(fix):
+    fix.specs['big'] = dataclasses.replace(SPEC, copies=2)
+    fix.add_vm('spare-1')
+
+
+def _more_declared_no_room(fix):
+    fix.specs['big'] = dataclasses.replace(SPEC, copies=2)
+
+
+def _drain_goes_on(fix):
+    _set_state(fix, 'draining')
+    fix.seen('f-c1-0', role='draining')
+
+
+def _drained(fix):
+    _set_state(fix, 'draining')
+    fix.seen('f-c1-0', role='drained')
+
+
+def _drained_not_wanted(fix):
+    _drained(fix)
+    fix.specs.clear()
+
+
+def _set_state(fix, state):
+    fix.copies['f-c1'] = dataclasses.replace(
+        fix.copies['f-c1'], state=groups.CopyState(state)
+    )
+
+
+@pytest.mark.parametrize(
+    'bend, actions',
+    [
+        (_loading, ['MarkServing']),
+        (_one_still_loads, []),
+        (_one_has_old_token, []),
+        (_one_unseen, []),
+        (_restarted, ['Reform']),
+        (_unseen, []),
+        (_lost_briefly, []),
+        (_lost_warm_spare_long, ['Reform']),
+        (_lost_and_unlisted, ['Reform']),
+        (_lost_no_spare, []),
+        (_leaving, ['Drain']),
+        (_engine_leaving, ['Drain']),
+        (_new_version, ['Drain']),
+        (_not_declared, ['Drain']),
+        (_fewer_declared, ['Drain']),
+        (_more_declared, ['Form']),
+        (_more_declared_no_room, []),
+        (_drain_goes_on, []),
+        (_drained, ['Reform']),
+        (_drained_not_wanted, ['Dissolve']),
+    ],
+)
+def test_actions(bend, actions):
+    """Each situation leads to its action."""
+    fix = Fixture()
+    bend(fix)
+    assert names(fix.plan()) == actions
+
+
+def test_replacement_takes_the_lost_members_place():
+    """The others keep their ranks, and with them their weights."""
+    fix = Fixture()
+    fix.lose('f-c1-0', 0.5, listed=False)
+    [action] = fix.plan().actions
+    assert action.vms == ('spare-0', 'f-c1-1')
+
+
+def test_replacement_fetches_weights_while_the_copy_waits():
+    """The spare fetches the lost member's part at once."""
+    fix = Fixture()
+    fix.lose('f-c1-1', 0.5)
+    found = fix.plan()
+    assert [(p.vm, p.rank) for p in found.prefetches] == [('spare-0', 1)]
+
+
+def test_rolls_one_copy_at_a_time():
+    """A new version leaves the other copies serving."""
+    spec = dataclasses.replace(SPEC, copies=2)
+    fix = Fixture(copies=2, specs=(spec,))
+    fix.specs['big'] = dataclasses.replace(spec, version='v2')
+    assert names(fix.plan()) == ['Drain']
+    fix.lose('f-c2-0', 0.5)
+    assert names(fix.plan()) == []
+
+
+def test_surplus_ends_with_the_broken_copy():
+    """Of two copies of which one is wanted, the whole one stays."""
+    fix = Fixture(copies=2)
+    fix.lose('f-c1-0', 0.5)
+    [action] = fix.plan().actions
+    assert (type(action), action.copy.copy_id) == (groups.Dissolve, 'f-c1')
+
+
+@pytest.mark.parametrize(
+    'policy, away_s, due',
+    [
+        (groups.StaticPolicy(), 10**6, False),
+        (groups.ReplacePolicy(), 0.0, True),
+        (groups.WaitPolicy(60.0), 59.0, False),
+        (groups.WaitPolicy(60.0), 61.0, True),
+    ],
+)
+def test_baselines(policy, away_s, due):
+    """The baselines differ in when they replace."""
+    fix = Fixture()
+    fix.lose('f-c1-1', away_s)
+    found = fix.plan(policy)
+    assert names(found) == (['Reform'] if due else [])
+    assert found.prefetches == ()
+
+
+def _two_groups(**small):
+    spec = dataclasses.replace(SMALL, **small)
+    fix = Fixture(spares=0, specs=(SPEC, spec))
+    fix.add_copy('f-c9', spec)
+    return fix
+
+
+@pytest.mark.parametrize(
+    'small, away_s, listed, actions',
+    [
+        # Beyond the declared number: taken once the loss is final.
+        ({'copies': 0, 'extra': 1}, 0.5, False, ['Drain']),
+        # Declared, and worth less than what it helps.
+        ({'copies': 1}, 0.5, False, ['Drain']),
+        # Declared, and worth more.
+        ({'copies': 1, 'value': 99.0}, 0.5, False, []),
+        # The member may still come back soon.
+        ({'copies': 1}, 0.5, True, []),
+    ],
+)
+def test_taking_from_another_group(small, away_s, listed, actions):
+    """VMs are taken from a copy whose outage costs less."""
+    fix = _two_groups(**small)
+    fix.lose('f-c1-1', away_s, listed=listed)
+    found = fix.plan()
+    assert names(found) == actions
+    assert all(a.copy.copy_id == 'f-c9' for a in found.actions)
+
+
+def test_two_broken_copies_become_one():
+    """VMs of one broken copy complete the other."""
+    fix = Fixture(copies=2, spares=0)
+    fix.specs['big'] = dataclasses.replace(SPEC, copies=2)
+    for vm in ('f-c1-0', 'f-c2-0'):
+        fix.lose(vm, 500.0, listed=False)
+    assert names(fix.plan()) == ['Dissolve']
+
+
+@pytest.mark.parametrize(
+    'spare, formed',
+    [('stranded_weight', True), ('downtime_weight', False)],
+)
+def test_idle_vms_serve_or_stand_by(spare, formed):
+    """The weights decide whether idle VMs form an extra copy."""
+    spec = dataclasses.replace(
+        SPEC,
+        extra=1,
+        drain_s=50.0,
+        downtime_weight=0.0,
+        stranded_weight=0.0,
+    )
+    spec = dataclasses.replace(spec, **{spare: 10.0})
+    fix = Fixture(spares=2, specs=(spec,))
+    assert ('Form' in names(fix.plan())) == formed
+
+
+def test_loads_take_turns():
+    """No more VMs load at once than the weight store feeds."""
+    spec = dataclasses.replace(SPEC, copies=3, load_vms_max=4)
+    fix = Fixture(copies=0, spares=6, specs=(spec,))
+    assert names(fix.plan()) == ['Form', 'Form']
+    assert names(fix.plan(groups.ReplacePolicy())) == ['Form'] * 3
+
+
+@pytest.mark.parametrize(
+    'facts, seen, hold, proof',
+    [
+        ({}, {}, {}, 'idle'),
+        ({}, {'boot': 'b2'}, {'boot': 'b'}, 'new boot'),
+        ({}, {'role': 'ready', 'copy_id': 'f-c1'}, {}, ''),
+        ({}, {'role': 'idle', 'copy_id': 'f-c1'}, {}, ''),
+        ({'lost_since': NOW - 99.0}, {}, {}, ''),
+        ({'sighting': None}, {}, {}, ''),
+        ({'listed': False}, {}, {}, 'idle'),
+        ({'listed': False, 'lost_since': NOW - 9.0}, {}, {}, 'gone'),
+        (
+            {'checks_fencing': False, 'orders_clear_at': NOW + 1.0},
+            {},
+            {},
+            '',
+        ),
+        (
+            {'checks_fencing': False, 'orders_clear_at': NOW - 1.0},
+            {},
+            {},
+            'idle',
+        ),
+        (
+            {
+                'checks_fencing': False,
+                'orders_clear_at': NOW - 1.0,
+                'sighting': groups.Sighting(
+                    wire.SeenVm(True, 'b', '', 0, 'idle', False),
+                    NOW - 2.0,
+                    'w',
+                ),
+            },
+            {},
+            {},
+            '',
+        ),
+    ],
+)
+def test_release_needs_proof(facts, seen, hold, proof):
+    """A VM is free only once it certainly holds no role."""
+    fix = Fixture()
+    fix.seen('spare-0', **seen)
+    fix.facts('spare-0', **facts)
+    fix.holds['spare-0'] = dataclasses.replace(
+        fix.holds['spare-0'], releasing=True, **hold
+    )
+    found = groups.release_proven(
+        fix.holds['spare-0'], fix.vms['spare-0'], NOW
+    )
+    assert found == proof
+    assert names(fix.plan()) == (['Free'] if proof else [])
+
+
+@pytest.mark.parametrize(
+    'state, seen, orders',
+    [
+        ('loading', {'copy_id': '', 'token': 0}, ['load']),
+        ('loading', {'token': 0}, ['load']),
+        ('loading', {}, []),
+        ('loading', {'ok': False}, []),
+        ('serving', {'copy_id': '', 'token': 0}, []),
+        ('draining', {}, ['drain']),
+        ('draining', {'role': 'draining'}, []),
+        ('draining', {'copy_id': 'f-c7'}, []),
+    ],
+)
+def test_orders(state, seen, orders):
+    """Orders bring engines to the state in the table."""
+    fix = Fixture(spares=0)
+    _set_state(fix, state)
+    fix.seen('f-c1-0', **seen)
+    found = groups.orders_due(fix.view())
+    assert [order.name for order in found] == orders
+
+
+@pytest.mark.parametrize(
+    'samples, away_s, repair_s, until_s',
+    [
+        ((math.inf,) * 9, 0.0, 100.0, 0.0),
+        ((5.0,) * 9, 0.0, 100.0, 5.0),
+        ((5.0,) * 9, 5.0, 100.0, 5.0),
+        ((5.0,) * 5 + (math.inf,) * 5, 0.0, 100.0, 5.0),
+        ((5.0,) + (math.inf,) * 99, 0.0, 100.0, 0.0),
+        ((80.0,) * 9 + (500.0,), 0.0, 100.0, 80.0),
+        ((200.0,) * 9, 0.0, 100.0, 0.0),
+        ((), 7.0, 100.0, 7.0),
+    ],
+)
+def test_best_wait(samples, away_s, repair_s, until_s):
+    """Waiting ends where it is expected to cost more than repairing."""
+    found = groups.best_wait_s(samples, away_s, repair_s)
+    assert found == until_s
+    assert found <= away_s + repair_s
