Hold limits over all nodes by lending; queue by priority; keys by epoch

Cause: limits were a static part a node (a moved demand was refused), every request judged all copies, overload was refused without a queue, keys were never removed and each took a commit of its own.

Change: every node owns an equal right and lends what it does not need; loans have deadlines counted without comparing clocks, and concurrency units stay lent until the borrower has reported after its deadline. Waiting rooms serve lower ranks first and the account with the fewest requests next, and refuse early on the predicted wait. Prefix affinity, stragglers, cached verdicts. Key rows are committed in groups and kept for one to two epochs.

--- /dev/null
+++ b/benchmarks/mutants.py
@@ -0,0 +1,184 @@
+"""Removes one guard at a time and shows which test turns red.
+
+Usage: ``python -m benchmarks.mutants``; works on a copy of the tree and
+exits with 1 if any guard is missed by its tests.
+"""
+
+import dataclasses
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).parents[1]
+
+
+@dataclasses.dataclass(frozen=True)
+class Mutant:
+    """A guard: where it stands, what replaces it, and its tests."""
+
+    name: str
+    path: str
+    guard: str
+    instead: str
+    tests: str
+
+
+MUTANTS = (
+    Mutant(
+        'lease row checked in every commit',
+        'plantainway/groups/_shard.py',
+        '(platform.Check(key, before), *checks),',
+        '(platform.Check(key, self._table._version_of(key)), *checks),',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'holder deadline checked before a commit',
+        'plantainway/groups/_shard.py',
+        '        self.check()\n        key = LEASE_PREFIX + self.shard\n',
+        '        key = LEASE_PREFIX + self.shard\n',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'holder stops before observers act',
+        'plantainway/groups/_lease.py',
+        'return sent_at + LEASE_TERM_S - HOLDER_MARGIN_S',
+        'return sent_at + LEASE_TERM_S + HOLDER_MARGIN_S',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'VM rows checked when claimed',
+        'plantainway/groups/_shard.py',
+        'platform.Check(VM_PREFIX + hold.vm, hold.row_version)\n'
+        '            for hold in holds\n',
+        'platform.Check(VM_PREFIX + hold.vm, hold.row_version)\n'
+        '            for hold in ()\n',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'only free VMs are claimed',
+        'plantainway/groups/_apply.py',
+        'if not hold.free and hold.copy_id != copy.copy_id:',
+        'if False:',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'lost reply settled by reading back',
+        'plantainway/platform/_table.py',
+        'if row is not None and row.txn_id == txn.txn_id:',
+        'if False:',
+        'tests/platform/test_table.py tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'boot compared before sending',
+        'plantainway/groups/_serving.py',
+        'if seen.boot != boot:',
+        'if False:',
+        'tests/groups/test_serving.py',
+    ),
+    Mutant(
+        'token compared before sending',
+        'plantainway/groups/_serving.py',
+        'if (seen.copy_id, seen.token) != (copy.copy_id, copy.token):',
+        'if False:',
+        'tests/groups/test_serving.py',
+    ),
+    Mutant(
+        'old sightings count as none',
+        'plantainway/groups/_sightings.py',
+        '            if at < oldest:\n                continue\n',
+        '',
+        'tests/groups/test_serving.py',
+    ),
+    Mutant(
+        'beats vouch only for the newest report',
+        'plantainway/peers/_book.py',
+        'return report if report.number >= held.report else None',
+        'return report',
+        'tests/groups/test_serving.py',
+    ),
+    Mutant(
+        'a lost sighting goes before a good one',
+        'plantainway/groups/_sightings.py',
+        'return not one.seen.ok',
+        'return one.seen.ok',
+        'tests/groups/test_serving.py',
+    ),
+    Mutant(
+        'proof before a VM is free',
+        'plantainway/groups/_release.py',
+        "if sighting.seen.role != 'idle' or sighting.seen.copy_id:",
+        'if False:',
+        'tests/groups/test_planner.py',
+    ),
+    Mutant(
+        'old orders waited out where tokens are not checked',
+        'plantainway/groups/_release.py',
+        'if not facts.checks_fencing and (',
+        'if False and (',
+        'tests/groups/test_planner.py',
+    ),
+    Mutant(
+        'boots compared when looking for lost members',
+        'plantainway/groups/_planner.py',
+        'if member.boot and seen.boot != member.boot:',
+        'if False:',
+        'tests/groups/test_planner.py',
+    ),
+    Mutant(
+        'token read back before a copy serves',
+        'plantainway/groups/_planner.py',
+        "if seen.role != 'ready' or (seen.copy_id, seen.token) != (",
+        "if seen.role != 'ready' or ('', seen.copy_id) == (",
+        'tests/groups/test_planner.py',
+    ),
+    Mutant(
+        'no hidden retries of the HTTP library',
+        'plantainway/sessions.py',
+        '    session._retry_connection = False\n',
+        '',
+        'tests/upstreams/test_service.py',
+    ),
+)
+
+
+def _run(mutant: Mutant) -> bool:
+    """Returns whether a test turns red without the guard."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder)
+        for name in ('plantainway', 'tests', 'benchmarks', 'examples'):
+            shutil.copytree(ROOT / name, copy / name)
+        shutil.copy(ROOT / 'pyproject.toml', copy)
+        path = copy / mutant.path
+        text = path.read_text()
+        if mutant.guard not in text:
+            raise ValueError(f'{mutant.name}: the guard is not there')
+        path.write_text(text.replace(mutant.guard, mutant.instead, 1))
+        found = subprocess.run(
+            [sys.executable, '-m', 'pytest', '-x', *mutant.tests.split()],
+            cwd=copy,
+            env={'PYTHONPATH': folder, 'PATH': '/usr/bin:/bin'},
+            capture_output=True,
+            text=True,
+        )
+        red = [
+            line.split(' - ')[0].removeprefix('FAILED ')
+            for line in found.stdout.splitlines()
+            if line.startswith('FAILED ')
+        ]
+        print(f'{mutant.name} | {red[0] if red else "NO TEST TURNS RED"}')
+        return bool(red)
+
+
+def main() -> int:
+    """Runs all mutants.
+
+    Returns:
+        0 if every guard has a test.
+    """
+    return 0 if all([_run(mutant) for mutant in MUTANTS]) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/plantainway/api/_caller.py
+++ b/plantainway/api/_caller.py
@@ -86,11 +86,10 @@
             request.headers.get('Authorization', '')
         )
 
-    @contextlib.contextmanager
-    def _admitted(self, admission, req_id: str):
-        live = self._parts.book.live()
+    @contextlib.asynccontextmanager
+    async def _admitted(self, admission, req_id: str):
         try:
-            self._accounts.enter(admission, len(live))
+            await self._accounts.enter_soon(admission)
         except errors.NotRunError as exc:
             self._parts.evidence.record(
                 'refuse', req=req_id, reason=exc.reason
@@ -134,10 +133,18 @@
         admission = self._authenticate(request)
         body = await _http.json_body(request)
         req = self._chat_request(request, admission, body)
-        with self._admitted(admission, req.req_id):
+        async with self._admitted(admission, req.req_id):
+            pieces = self._charged(admission, self._chats.run(req))
             if body.get('stream'):
-                return await self._stream(request, req)
-            return await self._collect(req)
+                return await self._stream(request, pieces)
+            return await self._collect(req, pieces)
+
+    async def _charged(self, admission, pieces):
+        """Passes pieces on and counts them as tokens."""
+        async with contextlib.aclosing(pieces):
+            async for piece in pieces:
+                self._accounts.charge(admission, 1)
+                yield piece
 
     def _chat_request(self, request, admission, body):
         model = body.get('model')
@@ -165,12 +172,12 @@
             resume,
         )
 
-    async def _stream(self, request, req) -> web.StreamResponse:
+    async def _stream(self, request, pieces) -> web.StreamResponse:
         resp = web.StreamResponse(headers=_SSE_HEADERS)
         # A caller that went away leaves its attempt to the engine, where
         # it can be resumed for a while.
         with contextlib.suppress(ConnectionError):
-            await self._send_pieces(request, resp, self._chats.run(req))
+            await self._send_pieces(request, resp, pieces)
         return resp
 
     async def _send_pieces(self, request, resp, pieces) -> None:
@@ -191,10 +198,10 @@
             await resp.write(b'event: error\ndata: %s\n\n' % error)
         await resp.write_eof()
 
-    async def _collect(self, req) -> web.Response:
+    async def _collect(self, req, pieces) -> web.Response:
         parts = []
         count = 0
-        async with contextlib.aclosing(self._chats.run(req)) as pieces:
+        async with contextlib.aclosing(pieces):
             async for piece in pieces:
                 if not piece.end:
                     parts.append(requests.text_of(piece.data))
@@ -240,7 +247,7 @@
             request.headers.get('Idempotency-Key', '')[:255],
             self._deadline(request),
         )
-        with self._admitted(admission, req.req_id):
+        async with self._admitted(admission, req.req_id):
             answer = await self._services.run(req)
         return web.Response(
             status=answer.status,
--- a/plantainway/bus.py
+++ b/plantainway/bus.py
@@ -77,6 +77,27 @@
     report: wire.Report
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SheetMade:
+    """Own wants and loans of limits, to be sent to the other nodes."""
+
+    sheet: wire.Sheet
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SheetArrived:
+    """Another node's wants and loans of limits."""
+
+    sheet: wire.Sheet
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodesRegistered:
+    """Names of all registered nodes, as last read from the table."""
+
+    nodes: frozenset[str]
+
+
 class Bus:
     """Hands each message to every inbox that asked for its type."""
 
--- a/plantainway/errors.py
+++ b/plantainway/errors.py
@@ -158,6 +158,13 @@
         return super().to_dict() | {'key': self.key}
 
 
+class DeadlineError(PlantainwayError):
+    """The caller's deadline passed after the request was sent."""
+
+    code = 'deadline_exceeded'
+    http_status = 504
+
+
 class KeyReusedError(PlantainwayError):
     """An idempotency key came again with another request body."""
 
--- a/plantainway/groups/_sightings.py
+++ b/plantainway/groups/_sightings.py
@@ -36,6 +36,7 @@
         self._watchers: dict[str, set[str]] = {}
         self._indexed: dict[str, set[str]] = {}
         self._suspected: dict[str, float] = {}
+        self._changes = 0
 
     def set_own(self, vm: str, seen: wire.SeenVm, at: float) -> bool:
         """Records the result of an own probe.
@@ -50,7 +51,9 @@
         """
         before = self._own.get(vm)
         self._own[vm] = Sighting(seen, at, self._node)
-        return before is None or before.seen != seen
+        changed = before is None or before.seen != seen
+        self._changes += changed
+        return changed
 
     def drop_own(self, vm: str) -> None:
         """Forgets own probes of a VM that others watch now.
@@ -58,6 +61,7 @@
         Args:
             vm: Name of the VM.
         """
+        self._changes += 1
         self._own.pop(vm, None)
 
     def own(self) -> dict[str, wire.SeenVm]:
@@ -74,6 +78,7 @@
         Args:
             report: Its newest report.
         """
+        self._changes += 1
         if report.node == self._node:
             return
         new = set(report.seen)
@@ -84,6 +89,13 @@
             self._watchers.setdefault(vm, set()).add(report.node)
         self._indexed[report.node] = new
 
+    def epoch(self) -> int:
+        """Returns a number that changes whenever a sighting may differ.
+
+        Sightings also grow old without any change.
+        """
+        return self._changes + self._book.changes
+
     def suspect(self, vm: str) -> None:
         """Notes that a request to a VM failed.
 
@@ -92,6 +104,7 @@
         Args:
             vm: Name of the VM.
         """
+        self._changes += 1
         self._suspected[vm] = self._clock.now()
 
     def sighting(self, vm: str) -> Sighting | None:
--- a/plantainway/node.py
+++ b/plantainway/node.py
@@ -72,6 +72,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._registration: peers.Registration | None = None
         self._draining = False
+        self._counted = False
         self.caller_address = ''
         self.operator_address = ''
         self.peer_address = ''
@@ -99,6 +100,8 @@
             self._watch,
             self._control,
             self._recorder,
+            self._limits_task,
+            self._key_sweep,
         ):
             self._spawn(task.run())
         self._spawn(self._poll_vm_list())
@@ -158,7 +161,7 @@
             shown.peer,
             False,
         )
-        self._registration = await self._retry(
+        self._registration, self._counted = await self._retry(
             functools.partial(parts.registry.register, wanted)
         )
         return self._registration
@@ -184,14 +187,22 @@
         store = objects.RevisionStore(parts.table, self._clock)
         self._objects = objects.ObjectsTask(store, parts, self._rng)
         self._view = requests.RouteView(cfg, parts, self._rng)
-        self._accounts = requests.AccountBook()
+        self._limits = requests.LimitBook(cfg.node, self._clock, self._counted)
+        self._limits_task = requests.LimitsTask(
+            self._limits, registration.incarnation, parts
+        )
+        self._accounts = requests.AccountBook(self._clock, self._limits)
         self._view.on_revision.append(self._accounts.set_objects)
         budget = requests.RetryBudget()
         key_store = requests.KeyStore(parts.table, self._clock, cfg.node)
+        self._key_sweep = requests.KeySweepTask(cfg.node, parts)
         self._services = requests.ServiceRunner(
             self._view, parts, key_store, budget
         )
-        self._chats = requests.ChatRunner(self._view, parts, budget)
+        self._dispatcher = requests.Dispatcher(self._view, self._clock)
+        self._chats = requests.ChatRunner(
+            self._view, parts, budget, self._dispatcher
+        )
         self._watch = groups.WatchTask(
             cfg.node,
             parts.book,
@@ -343,7 +354,8 @@
             'settings': settings.dump(self.cfg),
             'draining': self._draining,
             'in_progress': self._caller_api.in_progress,
-            'accounts': self._accounts.dump(),
+            'limits': self._limits.dump(),
+            'queues': self._dispatcher.dump(),
             'objects': self._objects.dump(),
             'peers': self._peers.dump(),
             'watch': self._watch.dump(),
--- a/plantainway/peers/_book.py
+++ b/plantainway/peers/_book.py
@@ -29,6 +29,7 @@
         self._clock = clock
         self._heard: dict[str, _Heard] = {}
         self.reports: dict[str, wire.Report] = {}
+        self.changes = 0
 
     def add_report(self, report: wire.Report) -> bool:
         """Keeps a report if it is newer than the one held.
@@ -46,6 +47,7 @@
         ):
             return False
         self.reports[report.node] = report
+        self.changes += 1
         return True
 
     def add_beat(self, beat: wire.Beat) -> bool:
@@ -60,6 +62,11 @@
         now = self._clock.now()
         at = now - beat.age_ms / _MS
         held = self._heard.get(beat.node)
+        if held is None or (beat.incarnation, beat.report) > (
+            held.incarnation,
+            held.report,
+        ):
+            self.changes += 1
         if held is None or beat.incarnation > held.incarnation:
             self._heard[beat.node] = _Heard(beat.incarnation, at, beat.report)
         elif beat.incarnation == held.incarnation:
@@ -131,6 +138,7 @@
         Args:
             node: Name of the node.
         """
+        self.changes += 1
         self._heard.pop(node, None)
         self.reports.pop(node, None)
 
--- a/plantainway/peers/_registry.py
+++ b/plantainway/peers/_registry.py
@@ -46,20 +46,25 @@
         found = [Registration(**row.value) for row in rows]
         return {item.node: item for item in found}
 
-    async def register(self, wanted: Registration) -> Registration:
+    async def register(self, wanted: Registration) -> tuple:
         """Registers a node as a new incarnation.
 
         Args:
             wanted: Registration whose incarnation is still 0.
 
         Returns:
-            The registration with its incarnation.
+            The registration with its incarnation, and whether the other
+            nodes count this one already: it restarts, or it is the first.
 
         Raises:
             StoreUnavailableError: If the table gave no answer.
             OutcomeInDoubtError: If the outcome can't be told.
         """
-        return await self._write(wanted, 1)
+        others = await self.nodes()
+        before = others.pop(wanted.node, None)
+        counted = before is not None and not before.left
+        first = all(item.left for item in others.values())
+        return await self._write(wanted, 1), counted or first
 
     async def mark_left(self, held: Registration) -> None:
         """Marks a node as having left by itself.
--- a/plantainway/peers/_task.py
+++ b/plantainway/peers/_task.py
@@ -72,8 +72,10 @@
             bus.CopiesChanged,
             bus.LoadsSeen,
             bus.RevisionInForce,
+            bus.SheetMade,
         )
         self._loads: dict[str, list[int]] = {}
+        self._sheets: dict[str, tuple[int, int]] = {}
         self._loads_sent: dict[str, list[int]] = {}
         self._deltas: dict[int, list] = {}
         self._revision = 0
@@ -170,6 +172,9 @@
             self._loads = message.loads
         elif isinstance(message, bus.SeenChanged):
             self._change_report(seen=message.seen)
+        elif isinstance(message, bus.SheetMade):
+            for link in self._links.values():
+                link.send(message.sheet)
         elif isinstance(message, bus.CopiesChanged):
             self._change_report(copies=message.copies, shards=message.shards)
         else:
@@ -267,6 +272,11 @@
             nodes = await self._parts.registry.nodes()
         except errors.StoreUnavailableError:
             return
+        self._parts.bus.publish(
+            bus.NodesRegistered(
+                frozenset(n for n, item in nodes.items() if not item.left)
+            )
+        )
         self._addresses = {
             name: item.peer
             for name, item in nodes.items()
@@ -370,6 +380,8 @@
             self._handle_beats(link, message)
         elif isinstance(message, wire.Report):
             self._handle_report(link, message)
+        elif isinstance(message, wire.Sheet):
+            self._handle_sheet(link, message)
         elif isinstance(message, wire.Pull):
             for node in message.nodes:
                 if node in self._book.reports:
@@ -411,13 +423,25 @@
             )
         )
         self._parts.bus.publish(bus.ReportArrived(report))
+        self._forward(link, report)
+
+    def _handle_sheet(self, link: _Link, sheet: wire.Sheet) -> None:
+        ident = (sheet.incarnation, sheet.number)
+        if sheet.node == self._me.node or (
+            self._sheets.get(sheet.node, (0, 0)) >= ident
+        ):
+            return
+        self._sheets[sheet.node] = ident
+        self._parts.bus.publish(bus.SheetArrived(sheet))
+        self._forward(link, sheet)
+
+    def _forward(self, link: _Link, message) -> None:
+        """Passes a message on between the own failure domain and others."""
         near = link.domain == self._me.failure_domain
         for other in self._links.values():
-            if other is link:
-                continue
             same = other.domain == self._me.failure_domain
-            if near != same:
-                other.send(report)
+            if other is not link and near != same:
+                other.send(message)
 
     def _age_ms(self, node: str) -> int:
         beat = self._book.beat_of(node)
--- a/plantainway/platform/_http.py
+++ b/plantainway/platform/_http.py
@@ -58,9 +58,11 @@
             return None
         return _row(found)
 
-    async def scan(self, prefix: str) -> list[_table.Row]:
+    async def scan(self, prefix: str, limit: int = 0) -> list[_table.Row]:
         """Lists rows; see the base class."""
-        found = await self._get_json('/scan', 'table_scan', prefix=prefix)
+        found = await self._get_json(
+            '/scan', 'table_scan', prefix=prefix, limit=str(limit)
+        )
         return [_row(item) for item in found['rows']]
 
     async def commit(self, txn: _table.Transaction) -> _table.CommitResult:
--- a/plantainway/platform/_table.py
+++ b/plantainway/platform/_table.py
@@ -91,11 +91,12 @@
         """
 
     @abc.abstractmethod
-    async def scan(self, prefix: str) -> list[Row]:
+    async def scan(self, prefix: str, limit: int = 0) -> list[Row]:
         """Lists the rows whose keys start with a prefix, in key order.
 
         Args:
             prefix: Start of the keys.
+            limit: Most rows to return, 0 for all.
 
         Returns:
             A consistent snapshot of the rows.
--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -1,5 +1,6 @@
 """Chat requests: attempts, retries and whole answers."""
 
+import asyncio
 import collections
 import contextlib
 import dataclasses
@@ -8,6 +9,7 @@
 
 from plantainway import errors
 from plantainway import logs
+from plantainway.requests import _affinity
 from plantainway.requests import _streams
 from plantainway import upstreams
 
@@ -93,12 +95,14 @@
         view: Route view.
         parts: Shared parts of the node.
         budget: Retry budget of the node.
+        dispatcher: Gives requests slots at copies.
     """
 
-    def __init__(self, view, parts, budget):
+    def __init__(self, view, parts, budget, dispatcher):
         self._view = view
         self._parts = parts
         self._budget = budget
+        self._dispatcher = dispatcher
         self.outcomes: collections.Counter = collections.Counter()
 
     async def run(self, req: ChatRequest):
@@ -114,7 +118,9 @@
             ResumeLostError: If the attempt to resume is gone.
         """
         self._budget.deposit()
-        run = _Run(req, self._view, self._parts, self._budget)
+        run = _Run(
+            req, self._view, self._parts, self._budget, self._dispatcher
+        )
         try:
             async for piece in run.pieces():
                 yield piece
@@ -126,11 +132,42 @@
             run.close()
 
 
+async def _cancel(engine, attempt: str) -> None:
+    """Tells an engine to end an attempt; its own deadline ends it too."""
+    with contextlib.suppress(errors.UpstreamError):
+        await engine.cancel(attempt)
+
+
+class _Pace:
+    """Mean gap between the pieces of one attempt."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._first_at = 0.0
+        self._last_at = 0.0
+        self._count = 0
+
+    def note(self) -> None:
+        """Notes that a piece has arrived."""
+        self._last_at = self._clock.now()
+        if not self._count:
+            self._first_at = self._last_at
+        self._count += 1
+
+    def gap_s(self) -> float:
+        """Returns the mean gap in seconds, 0 if there were too few."""
+        if self._count < 3:
+            return 0.0
+        return (self._last_at - self._first_at) / (self._count - 1)
+
+
 class _Run:
     """One request over all its attempts."""
 
-    def __init__(self, req, view, parts, budget):
+    def __init__(self, req, view, parts, budget, dispatcher):
         self._req = req
+        self._dispatcher = dispatcher
+        self._digests = _affinity.prefix_digests(req.body.get('messages'))
         self._view = view
         self._parts = parts
         self._budget = budget
@@ -174,27 +211,50 @@
             )
 
     async def _attempt(self, number: int):
-        resume = self._req.resume if number == 0 else None
-        if resume is not None:
-            copy = self._resumable(resume)
-            attempt = resume.attempt
-            self._position = resume.position
-        else:
-            copy = self._pick()
-            attempt = uuid.uuid4().hex
+        if number == 0 and self._req.resume is not None:
+            copy = self._resumable(self._req.resume)
+            self._position = self._req.resume.position
+            async for piece in self._read(copy, self._req.resume):
+                yield piece
+            return
+        slot = await self._slot()
+        try:
+            self._view.prefixes.note(slot.copy.copy_id, self._digests)
+            async for piece in self._read(slot.copy, None):
+                yield piece
+        finally:
+            self._dispatcher.release(slot)
+
+    async def _slot(self):
+        if self._parts.clock.now() >= self._req.deadline:
+            self._refuse('deadline passed', 'deadline', 1)
+        try:
+            return await self._dispatcher.slot(
+                self._req, self._excluded, self._digests
+            )
+        except errors.NotRunError as exc:
+            self._refuse(exc.message, exc.reason, exc.retry_after_s, exc.step)
+
+    async def _read(self, copy, resume):
+        """Yields the pieces of one attempt."""
+        attempt = resume.attempt if resume else uuid.uuid4().hex
         self._copy = copy
         head = copy.members[0][0]
         check = _streams.AnswerCheck(attempt, self._position, head)
-        self._record_send(copy, attempt, head, resume)
+        self._record_send(copy, attempt, resume)
         events = self._events(copy, attempt, head, resume)
-        self._view.loads.sent(head)
+        pace = _Pace(self._parts.clock)
         try:
-            async with contextlib.aclosing(events) as stream:
+            async with (
+                asyncio.timeout_at(self._loop_deadline()),
+                contextlib.aclosing(events) as stream,
+            ):
                 async for event in stream:
                     if not check.take(event):
                         continue
                     self._position = check.position
                     self._keep(event)
+                    pace.note()
                     yield Piece(
                         EventId(
                             copy.copy_id,
@@ -205,13 +265,27 @@
                         event.data,
                         event.end,
                     )
+            if check.ended and pace.gap_s():
+                self._view.pace.note(copy.copy_id, pace.gap_s())
         except errors.ResumeLostError:
             self._outcome = 'resume_lost'
             raise
         except errors.UpstreamError as exc:
             self._note_failure(exc, copy, attempt, head)
-        finally:
-            self._view.loads.ended(head)
+        except TimeoutError:
+            self._give_up(copy, attempt, head)
+
+    def _loop_deadline(self) -> float:
+        left_s = self._req.deadline - self._parts.clock.now()
+        return asyncio.get_running_loop().time() + left_s
+
+    def _give_up(self, copy, attempt: str, head: str):
+        """Cancels an attempt whose deadline has passed."""
+        address = self._view.objects.get('upstream', head).address
+        engine = self._parts.engines(head, address)
+        self._parts.spawn(_cancel(engine, attempt))
+        self._outcome = 'deadline'
+        raise errors.DeadlineError('deadline passed', 'chat', head)
 
     def _events(self, copy, attempt, head, resume):
         address = self._view.objects.get('upstream', head).address
@@ -239,27 +313,14 @@
             raise errors.ResumeLostError('the copy is gone', 'resume')
         return copy
 
-    def _pick(self):
-        if self._parts.clock.now() >= self._req.deadline:
-            self._refuse('deadline passed', 'deadline', 1)
-        candidates, busy = self._view.candidates(
-            self._req.model, self._excluded
-        )
-        chosen = self._view.choose(candidates)
-        if chosen is None:
-            if busy:
-                self._refuse('all copies are busy', 'overload', 2)
-            self._refuse('no copy may serve now', 'unavailable', 2)
-        return self._parts.copies.get(chosen.name)
-
-    def _refuse(self, text: str, reason: str, retry_after_s: int):
+    def _refuse(self, text, reason: str, retry_after_s: int, step='route'):
         if self._attempts_sent:
             self._fail()
         self._parts.evidence.record(
             'refuse', req=self._req.req_id, reason=reason
         )
         raise errors.NotRunError(
-            text, 'route', reason=reason, retry_after_s=retry_after_s
+            text, step, reason=reason, retry_after_s=retry_after_s
         )
 
     def _fail(self):
@@ -271,7 +332,7 @@
             exc.peer if exc else '',
         )
 
-    def _record_send(self, copy, attempt, head, resume) -> None:
+    def _record_send(self, copy, attempt, resume) -> None:
         verdict = self._view.verdict(copy)
         oldest_ms = (self._parts.clock.now() - verdict.seen_at) * _MS
         self._parts.evidence.record(
--- a/plantainway/requests/_keys.py
+++ b/plantainway/requests/_keys.py
@@ -1,9 +1,14 @@
 """Idempotency keys: non-idempotent work runs at most once.
 
-A row ``key/ACCOUNT/DIGEST`` goes through ``started`` and ``answered``, or
-back to ``void`` if the attempt was certainly never sent. A call is sent
-only after its ``started`` row was committed, and a row that is ``started``
-is never taken by another attempt.
+A row ``key/EPOCH/ACCOUNT/DIGEST`` goes through ``started`` and
+``answered``, or back to ``void`` if the attempt was certainly never sent.
+A call is sent only after its ``started`` row was committed, and a row that
+is ``started`` is never taken by another attempt.
+
+Epochs bound how long keys are kept. The number of the epoch is a row of its
+own that grows by one when it has stood unchanged for an epoch on some
+node's monotonic clock; a key is looked up in the present epoch and the one
+before, and rows of older ones are removed.
 """
 
 import asyncio
@@ -13,13 +18,18 @@
 
 from plantainway import errors
 from plantainway import platform
+from plantainway.requests import _group_commit
 from plantainway import upstreams
 
 PREFIX = 'key/'
-BEGIN_S = 3.0
+EPOCH_KEY = 'keyepoch'
+EPOCH_READ_S = 60.0  # a node reads the epoch again after so long
 FINISH_S = 60.0
 RETRY_PAUSE_S = 0.25
-KEY_MAX_CHARS = 255
+ANSWER_WAIT_S = 3.0  # for the answer of an attempt in progress
+STARTED = 'started'
+ANSWERED = 'answered'
+VOID = 'void'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,10 +48,41 @@
     answer: upstreams.ServiceAnswer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    """Rows of a key in the present epoch and the one before."""
+
+    keys: tuple[str, str]
+    rows: tuple
+
+    def newest(self):
+        """Returns the row that counts, ``None`` if the key is unused."""
+        for row in self.rows:
+            if row is not None and row.value['state'] != VOID:
+                return row
+        return None
+
+    def checks(self) -> tuple:
+        """Returns checks that both rows are still as they were read."""
+        return tuple(
+            platform.Check(key, row.version if row else platform.ABSENT)
+            for key, row in zip(self.keys, self.rows, strict=True)
+        )
+
+
 def _digest(text: bytes) -> str:
     return hashlib.blake2b(text, digest_size=16).hexdigest()
 
 
+def epoch_prefix(epoch: int) -> str:
+    """Returns the start of the keys of an epoch's rows.
+
+    Args:
+        epoch: Number of the epoch.
+    """
+    return f'{PREFIX}{epoch:08d}/'
+
+
 class KeyStore:
     """Rows of idempotency keys.
 
@@ -55,15 +96,29 @@
         self._table = table
         self._clock = clock
         self._node = node
+        self._epoch = 0
+        self._epoch_until = 0.0
+        self.committer = _group_commit.GroupCommitter(table, clock)
+        self.background: set[asyncio.Task] = set()
 
-    def row_key(self, account: str, key: str) -> str:
-        """Returns the key of the row of an idempotency key.
+    def _in_background(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
 
-        Args:
-            account: Account of the caller.
-            key: Idempotency key.
-        """
-        return f'{PREFIX}{account}/{_digest(key.encode())}'
+    async def _read(self, account: str, key: str) -> _Held:
+        if self._clock.now() >= self._epoch_until:
+            read_at = self._clock.now()
+            row = await self._table.read(EPOCH_KEY)
+            self._epoch = row.value['epoch'] if row else 0
+            self._epoch_until = read_at + EPOCH_READ_S
+        name = f'{account}/{_digest(key.encode())}'
+        keys = tuple(
+            epoch_prefix(epoch) + name
+            for epoch in (self._epoch, self._epoch - 1)
+        )
+        rows = await asyncio.gather(*map(self._table.read, keys))
+        return _Held(keys, tuple(rows))
 
     async def begin(
         self, account: str, key: str, request: bytes, attempt: str
@@ -84,64 +139,62 @@
             OutcomeUnknownError: If an earlier attempt is in doubt.
             NotRunError: If the attempt could not be recorded.
         """
-        row_key = self.row_key(account, key)
+        body = _digest(request)
         try:
-            row = await self._table.read(row_key)
+            held = await self._read(account, key)
+            if held.newest() is not None:
+                return await self._earlier(account, key, body, held)
+            result = await self.committer.put(
+                held.keys[0],
+                held.checks(),
+                {
+                    'state': STARTED,
+                    'attempt': attempt,
+                    'node': self._node,
+                    'body': body,
+                },
+            )
+            if result.outcome is platform.Outcome.COMMITTED:
+                return Begun(held.keys[0], attempt, result.version)
+            if result.outcome is platform.Outcome.UNKNOWN:
+                self._in_background(self.void(held.keys[0], attempt))
+            elif result.reason == 'conflict':
+                held = await self._read(account, key)
+                if held.newest() is not None:
+                    return await self._earlier(account, key, body, held)
         except errors.StoreUnavailableError as exc:
             raise errors.NotRunError(exc.message, 'record', reason='store')
-        body = _digest(request)
-        if row is not None and row.value['state'] != 'void':
-            return self._judge_held(row, body, key)
-        version = row.version if row else platform.ABSENT
-        value = {
-            'state': 'started',
-            'attempt': attempt,
-            'node': self._node,
-            'body': body,
-        }
-        result = await self._put(row_key, version, value, BEGIN_S)
-        if result.outcome is platform.Outcome.COMMITTED:
-            return Begun(row_key, attempt, result.version)
-        if result.outcome is platform.Outcome.UNKNOWN:
-            asyncio.ensure_future(self.void(row_key, attempt))
-        elif result.reason == 'conflict':
-            raise errors.OutcomeUnknownError(
-                'another attempt with this key is in progress',
-                'record',
-                key=key,
-            )
         raise errors.NotRunError(
             f'the key could not be recorded: {result.reason}',
             'record',
             reason='store',
         )
 
-    def _judge_held(self, row, body: str, key: str) -> Replay:
-        if row.value['body'] != body:
-            raise errors.KeyReusedError(
-                'the key was used with another request', 'record'
-            )
-        if row.value['state'] == 'answered':
-            answer = row.value['answer']
-            return Replay(
-                upstreams.ServiceAnswer(
-                    answer['status'],
-                    answer['content_type'],
-                    base64.b64decode(answer['body']),
+    async def _earlier(self, account, key, body, held) -> Replay:
+        """Returns the answer of an earlier attempt, waiting if need be."""
+        deadline = self._clock.now() + ANSWER_WAIT_S
+        while True:
+            row = held.newest()
+            if row is not None and row.value['body'] != body:
+                raise errors.KeyReusedError(
+                    'the key was used with another request', 'record'
                 )
-            )
-        raise errors.OutcomeUnknownError(
-            'an earlier attempt has no recorded answer', 'record', key=key
-        )
+            if row is not None and row.value['state'] == ANSWERED:
+                return _replay(row.value['answer'])
+            if row is None or self._clock.now() >= deadline:
+                raise errors.OutcomeUnknownError(
+                    'an earlier attempt has no recorded answer',
+                    'record',
+                    key=key,
+                )
+            await asyncio.sleep(RETRY_PAUSE_S)
+            held = await self._read(account, key)
 
-    async def finish(
-        self, begun: Begun, account: str, request: bytes, answer
-    ) -> bool:
+    async def finish(self, begun: Begun, request: bytes, answer) -> bool:
         """Keeps the answer of an attempt.
 
         Args:
             begun: The attempt.
-            account: Account of the caller.
             request: Bytes that identify the request.
             answer: Answer of the service.
 
@@ -149,7 +202,7 @@
             Whether the answer was kept before the deadline.
         """
         value = {
-            'state': 'answered',
+            'state': ANSWERED,
             'attempt': begun.attempt,
             'node': self._node,
             'body': _digest(request),
@@ -160,10 +213,9 @@
             },
         }
         deadline = self._clock.now() + FINISH_S
+        check = platform.Check(begun.row_key, begun.version)
         while self._clock.now() < deadline:
-            result = await self._put(
-                begun.row_key, begun.version, value, FINISH_S
-            )
+            result = await self.committer.put(begun.row_key, (check,), value)
             if result.outcome is platform.Outcome.COMMITTED:
                 return True
             if result.reason == 'conflict':
@@ -191,30 +243,28 @@
             except errors.StoreUnavailableError:
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            if row is not None and row.value.get('attempt') != attempt:
+            if row is not None and (
+                row.value['attempt'] != attempt
+                or row.value['state'] != STARTED
+            ):
                 return True
-            if row is not None and row.value['state'] != 'started':
-                return True
-            result = await self._put(
+            version = row.version if row else platform.ABSENT
+            result = await self.committer.put(
                 row_key,
-                row.version if row else platform.ABSENT,
-                {'state': 'void', 'attempt': attempt, 'node': self._node},
-                BEGIN_S,
+                (platform.Check(row_key, version),),
+                {'state': VOID, 'attempt': attempt, 'node': self._node},
             )
             if result.outcome is platform.Outcome.COMMITTED:
                 return True
             await asyncio.sleep(RETRY_PAUSE_S)
         return False
 
-    async def _put(self, row_key, version, value, settle_s):
-        return await platform.commit_settled(
-            self._table,
-            platform.Transaction(
-                platform.new_txn_id(),
-                (platform.Check(row_key, version),),
-                (platform.Write(row_key, value),),
-            ),
-            row_key,
-            self._clock,
-            self._clock.now() + settle_s,
+
+def _replay(answer: dict) -> Replay:
+    return Replay(
+        upstreams.ServiceAnswer(
+            answer['status'],
+            answer['content_type'],
+            base64.b64decode(answer['body']),
         )
+    )
--- /dev/null
+++ b/plantainway/requests/_queue.py
@@ -0,0 +1,148 @@
+"""Requests that wait for a slot, by priority and fair by account."""
+
+import collections
+import dataclasses
+
+WAIT_MAX_S = 1.0  # longest predicted wait that is accepted
+SERVICE_START_S = 0.5
+SERVICE_WEIGHT = 0.1
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Ticket:
+    """A waiting request; ``deadline`` is monotonic seconds.
+
+    ``request`` is what the dispatcher needs to serve it, ``slot`` the
+    future that gets the slot.
+    """
+
+    account: str
+    rank: int
+    deadline: float
+    queued_at: float
+    request: tuple = ()
+    slot: object = None
+
+
+class WaitingRoom:
+    """Waiting requests of one model name.
+
+    A lower rank goes first. Within a rank the account goes first that has
+    the fewest requests in progress, so that a flooding account waits for
+    itself.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._ranks: dict[int, dict[str, collections.deque]] = {}
+        self._running: collections.Counter = collections.Counter()
+        self._service_s = SERVICE_START_S
+        self.waiting = 0
+
+    def predicted_wait_s(self, ticket: Ticket, slots: float) -> float:
+        """Returns how long a request would wait.
+
+        Args:
+            ticket: The request.
+            slots: Slots that this node's requests have now.
+        """
+        ahead = 0
+        mine = 0
+        accounts = 1
+        for rank, queues in self._ranks.items():
+            if rank < ticket.rank:
+                ahead += sum(map(len, queues.values()))
+            elif rank == ticket.rank:
+                mine = len(queues.get(ticket.account, ()))
+                accounts = len(
+                    {name for name, queue in queues.items() if queue}
+                    | {ticket.account}
+                )
+        turns = ahead + (mine + 1) * accounts
+        return turns * self._service_s / max(slots, 1.0)
+
+    def may_wait(self, ticket: Ticket, slots: float) -> bool:
+        """Tells whether a request may queue up.
+
+        Args:
+            ticket: The request.
+            slots: Slots that this node's requests have now.
+        """
+        wait_s = self.predicted_wait_s(ticket, slots)
+        start_at = self._clock.now() + wait_s
+        return wait_s <= WAIT_MAX_S and start_at < ticket.deadline
+
+    def push(self, ticket: Ticket) -> None:
+        """Queues a request up.
+
+        Args:
+            ticket: The request.
+        """
+        queues = self._ranks.setdefault(ticket.rank, {})
+        queues.setdefault(ticket.account, collections.deque()).append(ticket)
+        self.waiting += 1
+
+    def push_front(self, ticket: Ticket) -> None:
+        """Queues a request up again whose turn came too early.
+
+        Args:
+            ticket: The request.
+        """
+        self._ranks[ticket.rank][ticket.account].appendleft(ticket)
+        self.waiting += 1
+
+    def remove(self, ticket: Ticket) -> None:
+        """Takes a request out that waits no more.
+
+        Args:
+            ticket: The request.
+        """
+        queue = self._ranks.get(ticket.rank, {}).get(ticket.account)
+        if queue is not None and ticket in queue:
+            queue.remove(ticket)
+            self.waiting -= 1
+
+    def pop(self) -> Ticket | None:
+        """Takes out the request whose turn it is, ``None`` if none waits."""
+        for rank in sorted(self._ranks):
+            queues = self._ranks[rank]
+            names = [name for name, queue in queues.items() if queue]
+            if not names:
+                continue
+            name = min(
+                names,
+                key=lambda name: (
+                    self._running[name],
+                    queues[name][0].queued_at,
+                ),
+            )
+            self.waiting -= 1
+            return queues[name].popleft()
+        return None
+
+    def started(self, account: str) -> None:
+        """Notes that a request of an account got a slot.
+
+        Args:
+            account: Its account.
+        """
+        self._running[account] += 1
+
+    def ended(self, account: str, took_s: float) -> None:
+        """Notes that a request of an account has ended.
+
+        Args:
+            account: Its account.
+            took_s: Seconds that it had its slot.
+        """
+        self._running[account] -= 1
+        if not self._running[account]:
+            del self._running[account]
+        self._service_s += SERVICE_WEIGHT * (took_s - self._service_s)
+
+    def running(self) -> int:
+        """Returns the requests that have slots."""
+        return sum(self._running.values())
--- a/plantainway/requests/_routing.py
+++ b/plantainway/requests/_routing.py
@@ -1,26 +1,50 @@
 """Choice of a copy or a service instance for one request."""
 
 import dataclasses
+import statistics
 
 EJECT_AFTER = 3  # failures in a row
 EJECT_S = 5.0
+DISTANCE_COST = 0.02
+PREFIX_GAIN = 0.6  # what a whole cached prompt is worth, in slots' load
+STRAGGLER_RATIO = 2.0
+PACE_WEIGHT = 0.1
+PACE_SAMPLES_MIN = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """A target that may get the request now.
 
-    ``load`` is the work it has per slot, reported and since sent;
-    ``distance`` is 0 in the same place, 1 in the same region, 2 beyond.
+    ``load`` is the work it has per slot; ``distance`` is 0 in the same
+    place, 1 in the same region, 2 beyond; ``cached`` is the part of the
+    prompt it is thought to have cached; ``slow`` is its pace against its
+    peers', 1 for the usual one.
     """
 
     name: str
     load: float
     distance: int
+    cached: float = 0.0
+    slow: float = 1.0
+
+
+def cost_of(candidate: Candidate) -> float:
+    """Returns the expected cost of sending a request to a target.
+
+    Args:
+        candidate: The target.
+    """
+    return (
+        candidate.load * candidate.slow
+        + (candidate.slow - 1.0)
+        + DISTANCE_COST * candidate.distance
+        - PREFIX_GAIN * candidate.cached
+    )
 
 
 def choose(candidates, rng):
-    """Chooses the better of two random candidates.
+    """Chooses the cheapest of two random candidates and the best cached.
 
     Args:
         candidates: Targets that may get the request.
@@ -32,11 +56,58 @@
     if not candidates:
         return None
     pair = rng.sample(candidates, min(2, len(candidates)))
-    return min(pair, key=_cost)
+    best = max(candidates, key=lambda item: item.cached)
+    if best.cached:
+        pair.append(best)
+    return min(pair, key=lambda item: (cost_of(item), item.name))
+
+
+class PaceBook:
+    """How long each copy takes from one piece to the next.
+
+    A copy that is slow against the median of its peers is a straggler.
+    """
+
+    def __init__(self):
+        self._pace: dict[str, tuple[int, float]] = {}
 
+    def note(self, copy_id: str, gap_s: float) -> None:
+        """Takes in the mean gap between the pieces of an answer.
 
-def _cost(candidate) -> tuple:
-    return (candidate.load + 0.1 * candidate.distance, candidate.name)
+        Args:
+            copy_id: Name of the copy.
+            gap_s: Seconds.
+        """
+        count, mean = self._pace.get(copy_id, (0, gap_s))
+        mean += PACE_WEIGHT * (gap_s - mean)
+        self._pace[copy_id] = (count + 1, mean)
+
+    def slow(self, copy_id: str) -> float:
+        """Returns the pace of a copy against its peers, at least 1.
+
+        Args:
+            copy_id: Name of the copy.
+        """
+        count, mean = self._pace.get(copy_id, (0, 0.0))
+        if count < PACE_SAMPLES_MIN:
+            return 1.0
+        peers = [
+            other
+            for name, (number, other) in self._pace.items()
+            if number >= PACE_SAMPLES_MIN and name != copy_id
+        ]
+        if not peers:
+            return 1.0
+        ratio = mean / max(statistics.median(peers), 1e-9)
+        return ratio if ratio >= STRAGGLER_RATIO else 1.0
+
+    def forget(self, copy_id: str) -> None:
+        """Forgets a copy that was loaded anew.
+
+        Args:
+            copy_id: Name of the copy.
+        """
+        self._pace.pop(copy_id, None)
 
 
 class InstanceHealth:
--- a/plantainway/requests/_services.py
+++ b/plantainway/requests/_services.py
@@ -79,8 +79,8 @@
 
     async def settle(self) -> None:
         """Waits until answers that are being kept are kept."""
-        if self._finishing:
-            await asyncio.wait(self._finishing)
+        while open_tasks := self._finishing | self._keys.background:
+            await asyncio.wait(open_tasks)
 
     def dump(self) -> dict:
         """Returns the state for the state dump."""
@@ -159,9 +159,7 @@
                     )
 
     def _keep(self, req, begun, identity, answer) -> None:
-        self._finish_later(
-            self._keys.finish(begun, req.account, identity, answer)
-        )
+        self._finish_later(self._keys.finish(begun, identity, answer))
 
     def _finish_later(self, coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/plantainway/requests/_view.py
+++ b/plantainway/requests/_view.py
@@ -2,10 +2,12 @@
 
 from plantainway import bus
 from plantainway import groups
+from plantainway.requests import _affinity
 from plantainway.requests import _load
 from plantainway.requests import _routing
 
-QUEUE_PER_SLOT = 1.0  # requests waiting per slot before refusing
+VERDICT_LIFE_S = 0.25  # a positive verdict is used again for so long
+CANDIDATES_MAX = 8  # copies looked at for one request
 
 
 class RouteView:
@@ -35,12 +37,18 @@
         self._leaving: set[str] = set()
         self.loads = _load.LoadBook()
         self.health = _routing.InstanceHealth()
+        self.pace = _routing.PaceBook()
+        self.prefixes = _affinity.PrefixMap(parts.clock)
+        self._verdicts: dict[str, tuple] = {}
         self.on_revision = []
+        self.on_change = []
 
     async def run(self) -> None:
         """Takes in messages until cancelled."""
         while True:
             self._take_in(await self._inbox.get())
+            for hook in self.on_change:
+                hook()
 
     @property
     def objects(self):
@@ -54,6 +62,7 @@
                 hook(self._objects)
         elif isinstance(message, bus.VmListRead):
             self._vm_list = message.entries
+            self._verdicts.clear()
         elif isinstance(message, (bus.LoadsSeen, bus.RemoteLoads)):
             self.loads.report(message.loads)
             return
@@ -131,6 +140,19 @@
             The verdict.
         """
 
+        now = self._parts.clock.now()
+        ident = (copy.row_version, copy.token, self._parts.board.epoch())
+        held = self._verdicts.get(copy.copy_id)
+        if held is not None and held[0] == ident and now < held[1]:
+            return held[2]
+        verdict = self._judge(copy)
+        until = now + VERDICT_LIFE_S
+        if verdict.allowed:
+            until = min(until, verdict.seen_at + groups.SIGHTING_TERM_S)
+        self._verdicts[copy.copy_id] = (ident, until, verdict)
+        return verdict
+
+    def _judge(self, copy) -> groups.Verdict:
         def sighting_of(vm):
             sighting = self._parts.board.sighting(vm)
             self._note_vm(vm, sighting)
@@ -140,8 +162,7 @@
         verdict = groups.may_send(copy, sighting_of)
         if verdict.allowed:
             for vm, _boot in copy.members:
-                entry = self._vm_list.get(vm)
-                if entry is not None and entry.leaving:
+                if self._is_leaving(vm):
                     return groups.Verdict(False, f'leaving {vm}')
         return verdict
 
@@ -195,8 +216,8 @@
                 exact.append(copy)
         return [exact, others]
 
-    def candidates(self, name: str, excluded) -> tuple[list, bool]:
-        """Returns the copies that may get a request now.
+    def candidates(self, name: str, excluded, digests=()) -> tuple:
+        """Returns copies that may get a request now.
 
         Copies of other versions than a model's default one are used only
         while none of that version serves.
@@ -204,32 +225,46 @@
         Args:
             name: Name of a model, a model version or an adapter.
             excluded: Copies that already failed the request.
+            digests: Digests of the prompt's beginnings.
 
         Returns:
-            Candidates, and whether some serve but are all overloaded.
+            Some candidates with a free slot, and whether any copy serves.
         """
         for copies in self._tiers(name):
-            found, busy = self._candidates_among(copies, excluded)
-            if found or busy:
-                return found, busy
+            found, serving = self._candidates_among(copies, excluded, digests)
+            if serving:
+                return found, True
         return [], False
 
-    def _candidates_among(self, copies, excluded) -> tuple[list, bool]:
+    def _candidates_among(self, copies, excluded, digests) -> tuple:
+        """Looks at the best cached copies first, then at random ones."""
+        order = self._rng.sample(copies, len(copies))
+        if digests:
+            shares = {
+                copy.copy_id: self.prefixes.cached_share(copy.copy_id, digests)
+                for copy in order
+            }
+            order.sort(key=lambda copy: -shares[copy.copy_id])
         found = []
-        busy = False
-        for copy in copies:
+        serving = False
+        for copy in order:
             if copy.copy_id in excluded or not self.verdict(copy).allowed:
                 continue
+            serving = True
             load = self.load(copy)
-            if load >= 1.0 + QUEUE_PER_SLOT:
-                busy = True
-                continue
-            found.append(
-                _routing.Candidate(
-                    copy.copy_id, load, self.distance(copy.members[0][0])
+            if load < 1.0:
+                found.append(
+                    _routing.Candidate(
+                        copy.copy_id,
+                        load,
+                        self.distance(copy.members[0][0]),
+                        shares[copy.copy_id] if digests else 0.0,
+                        self.pace.slow(copy.copy_id),
+                    )
                 )
-            )
-        return found, busy
+                if len(found) >= CANDIDATES_MAX:
+                    break
+        return found, serving
 
     def load(self, copy) -> float:
         """Returns requests per slot of the copy's head.
@@ -283,6 +318,14 @@
         entry = self._vm_list.get(name)
         return entry is not None and entry.leaving
 
+    def copy(self, copy_id: str):
+        """Returns one copy, ``None`` if it stands no more.
+
+        Args:
+            copy_id: Name of the copy.
+        """
+        return self._parts.copies.get(copy_id)
+
     def choose(self, candidates):
         """Chooses one of several candidates.
 
--- a/plantainway/standins/_table.py
+++ b/plantainway/standins/_table.py
@@ -26,18 +26,22 @@
         self._keys: list[str] = []
         self._version = 0
 
+    def rows(self) -> dict[str, platform.Row]:
+        """Returns all rows by key, without any fault."""
+        return dict(self._rows)
+
     async def read(self, key: str) -> platform.Row | None:
         """Reads a row; see the base class."""
         await self._enter('table_read')
         return self._rows.get(key)
 
-    async def scan(self, prefix: str) -> list[platform.Row]:
+    async def scan(self, prefix: str, limit: int = 0) -> list[platform.Row]:
         """Lists rows; see the base class."""
         await self._enter('table_scan')
         start = bisect.bisect_left(self._keys, prefix)
         found = []
         for key in self._keys[start:]:
-            if not key.startswith(prefix):
+            if not key.startswith(prefix) or (limit and len(found) == limit):
                 break
             found.append(self._rows[key])
         return found
@@ -116,7 +120,9 @@
         return web.json_response(_row_json(row))
 
     async def scan(request):
-        rows = await table.scan(request.query['prefix'])
+        rows = await table.scan(
+            request.query['prefix'], int(request.query.get('limit', '0'))
+        )
         return web.json_response({'rows': [_row_json(r) for r in rows]})
 
     async def commit(request):
--- a/plantainway/wire/__init__.py
+++ b/plantainway/wire/__init__.py
@@ -12,4 +12,5 @@
 from plantainway.wire._messages import Pull
 from plantainway.wire._messages import Report
 from plantainway.wire._messages import SeenVm
+from plantainway.wire._messages import Sheet
 from plantainway.wire._messages import Want
--- a/plantainway/wire/_codec.py
+++ b/plantainway/wire/_codec.py
@@ -16,6 +16,7 @@
     'pull': _messages.Pull,
     'delta': _messages.Delta,
     'want': _messages.Want,
+    'sheet': _messages.Sheet,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 _ADAPTERS = {tag: pydantic.TypeAdapter(cls) for tag, cls in _TYPES.items()}
--- a/plantainway/wire/_messages.py
+++ b/plantainway/wire/_messages.py
@@ -113,3 +113,20 @@
     """Asks for the revisions after a number."""
 
     after: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sheet:
+    """What a node wants to borrow of the accounts' limits, and lends.
+
+    Keys are ``ACCOUNT/KIND``. ``loans`` gives, by borrower, the number of
+    the borrower's sheet that it answers and the units lent; ``held`` the
+    borrowed units still in use, by lender.
+    """
+
+    node: str
+    incarnation: int
+    number: int
+    wants: dict[str, int]
+    loans: dict[str, tuple[int, dict[str, int]]]
+    held: dict[str, dict[str, int]]
