Let cancelled tasks end: no wait_for around inboxes

Cause: a load run hung for ten minutes at its end. asyncio.wait_for of Python 3.11 returns a result that arrives together with a cancellation and swallows the cancellation, so a busy task of a stopping node went on for ever, and SIGTERM would not have ended the process. Ruled out: the waiting rooms (no request was open) and the stand-ins (stopped by themselves).

--- a/plantainway/api/_http.py
+++ b/plantainway/api/_http.py
@@ -8,6 +8,7 @@
 from plantainway import logs
 
 BODY_MAX_BYTES = 4 << 20
+REQUEST_ID = web.RequestKey('request_id', str)
 
 
 def error_response(exc: errors.PlantainwayError) -> web.Response:
@@ -32,6 +33,13 @@
         request: Request of the caller.
         handler: Handler to call.
     """
+    resp = await _coded(request, handler)
+    if REQUEST_ID in request and not resp.prepared:
+        resp.headers['X-Request-Id'] = request[REQUEST_ID]
+    return resp
+
+
+async def _coded(request, handler):
     try:
         return await handler(request)
     except errors.PlantainwayError as exc:
--- a/plantainway/client.py
+++ b/plantainway/client.py
@@ -25,9 +25,10 @@
         status: HTTP status.
         body: The ``error`` part of the answer.
         peer: Address of the node.
+        req_id: Id that the node gave the request.
     """
 
-    def __init__(self, status: int, body: dict, peer: str):
+    def __init__(self, status: int, body: dict, peer: str, req_id=''):
         super().__init__(
             str(body.get('message', f'status {status}')),
             str(body.get('step', '')),
@@ -36,6 +37,7 @@
         self.code = str(body.get('code', 'unreadable_answer'))
         self.status = status
         self.body = body
+        self.req_id = req_id
 
 
 async def _remote_error(resp, peer: str) -> RemoteError:
@@ -43,7 +45,8 @@
         body = (await resp.json())['error']
     except (ValueError, KeyError, TypeError, aiohttp.ClientError):
         body = {}
-    return RemoteError(resp.status, body, peer)
+    req_id = resp.headers.get('X-Request-Id', '')
+    return RemoteError(resp.status, body, peer, req_id)
 
 
 class OperatorClient:
@@ -113,15 +116,20 @@
         entries: Addresses to ask for the directory first.
         key: Caller key.
         session: Client session to use.
+        retries_refusals: Whether a request refused as not run is sent
+            again.
     """
 
-    def __init__(self, entries: list[str], key: str, session):
+    def __init__(
+        self, entries: list[str], key: str, session, retries_refusals=True
+    ):
         self._seeds = list(entries)
         self._headers = {'Authorization': f'Bearer {key}'}
         self._session = session
         self._addresses: list[str] = []
         self._valid_until = 0.0
         self._bad: set[str] = set()
+        self._retries_refusals = retries_refusals
 
     def pin(self, address: str) -> None:
         """Starts with one address instead of the directory's answer.
@@ -198,13 +206,14 @@
             f'no whole answer: {failure}', 'ask', address
         )
 
-    @staticmethod
-    def _may_go_on(exc: RemoteError, answer: Answer) -> bool:
+    def _may_go_on(self, exc: RemoteError, answer: Answer) -> bool:
         if exc.status == _HTTP_GONE:
             answer.last_event_id = ''
             answer.restarts += 1
             return True
-        return exc.code in ('not_run', 'outcome_unknown')
+        if exc.code == 'not_run':
+            return self._retries_refusals or answer.pieces > 0
+        return exc.code == 'outcome_unknown'
 
     async def _stream(self, address, body, answer, on_text) -> None:
         headers = dict(self._headers)
--- a/plantainway/node.py
+++ b/plantainway/node.py
@@ -324,6 +324,14 @@
             logs.event('unregister_failed', 'WARNING', reason=exc.message)
         await self.kill()
 
+    def set_chooser(self, chooser: requests.BaseChooser) -> None:
+        """Changes how copies are chosen.
+
+        Args:
+            chooser: The new way.
+        """
+        self._view.chooser = chooser
+
     @property
     def recorder(self) -> 'evidence.Recorder':
         """Returns the evidence recorder."""
--- a/plantainway/objects/_task.py
+++ b/plantainway/objects/_task.py
@@ -47,7 +47,8 @@
         while True:
             left_s = max(poll_at - self._parts.clock.now(), 0)
             try:
-                message = await asyncio.wait_for(self._inbox.get(), left_s)
+                async with asyncio.timeout(left_s):
+                    message = await self._inbox.get()
             except TimeoutError:
                 await self._poll()
                 poll_at = self._parts.clock.now() + HEAD_POLL_S * (
--- a/plantainway/peers/_task.py
+++ b/plantainway/peers/_task.py
@@ -132,9 +132,8 @@
                     if left_s <= 0:
                         break
                     try:
-                        message = await asyncio.wait_for(
-                            self._inbox.get(), left_s
-                        )
+                        async with asyncio.timeout(left_s):
+                            message = await self._inbox.get()
                     except TimeoutError:
                         break
                     self._take_in(message)
--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -304,6 +304,7 @@
                 self._req.rank,
                 prefix,
                 self._position,
+                self._req.req_id,
             )
         )
 
--- a/plantainway/requests/_dispatch.py
+++ b/plantainway/requests/_dispatch.py
@@ -17,6 +17,7 @@
     copy: object
     model: str
     account: str
+    rank: int
     since: float
 
 
@@ -51,7 +52,7 @@
         room = self._rooms.get(req.model)
         if room is None:
             room = self._rooms[req.model] = _queue.WaitingRoom(self._clock)
-        if not room.waiting:
+        if not room.waits(req.rank):
             slot = self._take(req, excluded, digests, room)
             if slot is not None:
                 return slot
@@ -59,7 +60,7 @@
         ticket = _queue.Ticket(
             req.account, req.rank, req.deadline, now, (req, excluded, digests)
         )
-        slots = float(room.running())
+        slots = max(float(room.running()), self._view.slots(req.model))
         if not room.may_wait(ticket, slots):
             wait_s = room.predicted_wait_s(ticket, slots)
             raise errors.NotRunError(
@@ -75,7 +76,8 @@
     async def _wait(self, room, ticket) -> Slot:
         left_s = min(ticket.deadline - self._clock.now(), QUEUE_TIMEOUT_S)
         try:
-            return await asyncio.wait_for(ticket.slot, left_s)
+            async with asyncio.timeout(left_s):
+                return await ticket.slot
         except TimeoutError:
             raise errors.NotRunError(
                 'no slot became free', 'queue', reason='overload'
@@ -89,7 +91,9 @@
         Raises:
             NotRunError: If no copy may serve at all.
         """
-        found, serving = self._view.candidates(req.model, excluded, digests)
+        found, serving = self._view.candidates(
+            req.model, excluded, digests, room.ceiling(req.rank)
+        )
         if not serving:
             raise errors.NotRunError(
                 'no copy may serve now',
@@ -102,8 +106,8 @@
             return None
         copy = self._view.copy(chosen.name)
         self._view.loads.sent(copy.members[0][0])
-        room.started(req.account)
-        return Slot(copy, req.model, req.account, self._clock.now())
+        room.started(req.account, req.rank)
+        return Slot(copy, req.model, req.account, req.rank, self._clock.now())
 
     def release(self, slot: Slot) -> None:
         """Gives a slot back.
@@ -113,7 +117,7 @@
         """
         room = self._rooms[slot.model]
         self._view.loads.ended(slot.copy.members[0][0])
-        room.ended(slot.account, self._clock.now() - slot.since)
+        room.ended(slot.account, slot.rank, self._clock.now() - slot.since)
         self._pump(room)
 
     def pump_all(self) -> None:
--- a/plantainway/requests/_load.py
+++ b/plantainway/requests/_load.py
@@ -1,20 +1,33 @@
-"""Load of upstreams: what they report, corrected by own requests."""
+"""Load of upstreams: own requests, and what others are thought to have."""
 
 import collections
 
+AVERAGE_WEIGHT = 0.2  # of each new report in the running averages
+
+
+class _Head:
+    """One head VM's averages, taken at each report."""
+
+    __slots__ = ('reported', 'reported_mean', 'own_mean')
+
+    def __init__(self, reported: int, own: int):
+        self.reported = reported
+        self.reported_mean = float(reported)
+        self.own_mean = float(own)
+
 
 class LoadBook:
     """Estimates the requests at each head VM.
 
-    A report is old when it arrives, and stays in use until the next one.
-    Own requests that were sent or have ended since it arrived are added
-    or taken off, and own requests in progress are the least possible.
+    A report lags by an unknown time, so its difference from the own
+    requests of the moment says little. Over a while, though, the mean of
+    the reports less the mean of the own requests is what other nodes have
+    there, whatever the lag. Own requests are known exactly.
     """
 
     def __init__(self):
-        self._reported: dict[str, int] = {}
+        self._heads: dict[str, _Head] = {}
         self._own: collections.Counter = collections.Counter()
-        self._own_at_report: dict[str, int] = {}
 
     def report(self, loads: dict[str, list[int]]) -> None:
         """Takes in reported loads.
@@ -23,8 +36,15 @@
             loads: Requests running and waiting by VM.
         """
         for vm, (running, waiting) in loads.items():
-            self._reported[vm] = running + waiting
-            self._own_at_report[vm] = self._own[vm]
+            total = running + waiting
+            own = self._own[vm]
+            head = self._heads.get(vm)
+            if head is None:
+                self._heads[vm] = _Head(total, own)
+                continue
+            head.reported = total
+            head.reported_mean += AVERAGE_WEIGHT * (total - head.reported_mean)
+            head.own_mean += AVERAGE_WEIGHT * (own - head.own_mean)
 
     def sent(self, vm: str) -> None:
         """Counts an own request in.
@@ -42,12 +62,23 @@
         """
         self._own[vm] -= 1
 
-    def estimate(self, vm: str) -> int:
+    def reported(self, vm: str) -> int:
+        """Returns the requests that a VM reported last.
+
+        Args:
+            vm: Head VM.
+        """
+        head = self._heads.get(vm)
+        return head.reported if head else 0
+
+    def estimate(self, vm: str) -> float:
         """Returns the requests that a VM is thought to have now.
 
         Args:
             vm: Head VM.
         """
         own = self._own[vm]
-        since = own - self._own_at_report.get(vm, 0)
-        return max(own, self._reported.get(vm, 0) + since)
+        head = self._heads.get(vm)
+        if head is None:
+            return float(own)
+        return own + max(head.reported_mean - head.own_mean, 0.0)
--- a/plantainway/requests/_queue.py
+++ b/plantainway/requests/_queue.py
@@ -6,6 +6,10 @@
 WAIT_MAX_S = 1.0  # longest predicted wait that is accepted
 SERVICE_START_S = 0.5
 SERVICE_WEIGHT = 0.1
+CEILING_FIRST = 2.0  # load per slot up to which the best rank is sent
+CEILING_OTHERS = 1.25  # the engine's short queue keeps its slots busy
+RESERVE_MAX = 0.4  # part of the slots kept free for better ranks
+SHARE_WEIGHT = 0.05
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -40,8 +44,37 @@
         self._ranks: dict[int, dict[str, collections.deque]] = {}
         self._running: collections.Counter = collections.Counter()
         self._service_s = SERVICE_START_S
+        self._shares: dict[int, float] = {}
         self.waiting = 0
 
+    def ceiling(self, rank: int) -> float:
+        """Returns the load per slot from which a copy takes no more.
+
+        Slots are kept free for better ranks, as many as they use of late,
+        so that their requests seldom wait for another to end.
+
+        Args:
+            rank: Rank of the request.
+        """
+        if rank <= min(self._shares, default=rank):
+            return CEILING_FIRST
+        better = sum(
+            share for other, share in self._shares.items() if other < rank
+        )
+        return CEILING_OTHERS - min(better, RESERVE_MAX)
+
+    def waits(self, rank: int) -> bool:
+        """Tells whether a request of a rank, or of a better one, waits.
+
+        Args:
+            rank: Rank of the request.
+        """
+        return any(
+            any(queues.values())
+            for other, queues in self._ranks.items()
+            if other <= rank
+        )
+
     def predicted_wait_s(self, ticket: Ticket, slots: float) -> float:
         """Returns how long a request would wait.
 
@@ -123,19 +156,27 @@
             return queues[name].popleft()
         return None
 
-    def started(self, account: str) -> None:
+    def started(self, account: str, rank: int = 0) -> None:
         """Notes that a request of an account got a slot.
 
         Args:
             account: Its account.
+            rank: Its rank.
         """
         self._running[account] += 1
+        self._shares.setdefault(rank, 0.0)
+        for other in self._shares:
+            target = 1.0 if other == rank else 0.0
+            self._shares[other] += SHARE_WEIGHT * (
+                target - self._shares[other]
+            )
 
-    def ended(self, account: str, took_s: float) -> None:
+    def ended(self, account: str, rank: int, took_s: float) -> None:
         """Notes that a request of an account has ended.
 
         Args:
             account: Its account.
+            rank: Its rank.
             took_s: Seconds that it had its slot.
         """
         self._running[account] -= 1
--- a/plantainway/requests/_sharing.py
+++ b/plantainway/requests/_sharing.py
@@ -201,7 +201,8 @@
             next_at = clock.now() + _limits.SHEET_PERIOD_S
             while (left_s := next_at - clock.now()) > 0:
                 try:
-                    message = await asyncio.wait_for(self._inbox.get(), left_s)
+                    async with asyncio.timeout(left_s):
+                        message = await self._inbox.get()
                 except TimeoutError:
                     break
                 self._take_in(message)
--- a/plantainway/standins/__init__.py
+++ b/plantainway/standins/__init__.py
@@ -1,5 +1,6 @@
 """Small stand-ins of the systems that a node meets; for demo and tests."""
 
+from plantainway.standins._engine import answer_words
 from plantainway.standins._engine import EngineStandIn
 from plantainway.standins._engine import Fleet
 from plantainway.standins._faults import Faults
--- a/plantainway/upstreams/_engine.py
+++ b/plantainway/upstreams/_engine.py
@@ -86,6 +86,7 @@
     priority: int = 0
     prefix: str = ''
     position: int = 0
+    req_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/upstreams/_http_engine.py
+++ b/plantainway/upstreams/_http_engine.py
@@ -20,6 +20,7 @@
 CALLER_HEADER = 'X-Caller'
 DEADLINE_HEADER = 'X-Deadline-Ms'
 PRIORITY_HEADER = 'X-Priority'
+REQUEST_HEADER = 'X-Request-Id'
 _MS = 1000
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
@@ -127,6 +128,7 @@
             CALLER_HEADER: call.caller,
             DEADLINE_HEADER: str(max(left_ms, 0)),
             PRIORITY_HEADER: str(call.priority),
+            REQUEST_HEADER: call.req_id,
         }
         async for event in self._stream(
             '/v1/chat/completions', 'chat', body, headers
