Choose copies by turns; measure load and faults over real sockets

Cause: under load the first token was slow (p95 600 ms and more at half load). Ruled out one by one: joining nodes waited for their first loans; ranking by lagging loads sent all nodes to the same copy; slots were given out by stale loads.

Change: a joining node borrows in advance; loads only bar a copy and never rank it, copies take turns, left for a cached prompt on an idle copy or to avoid a straggler; better ranks and accounts below their fair share go first at the engine too. A killed node now breaks its connections as a crash does.

Affinity does not pay at this load yet, and isolation under a flood is short of its target.

--- a/plantainway/node.py
+++ b/plantainway/node.py
@@ -347,6 +347,10 @@
 
     async def kill(self) -> None:
         """Ends at once, as a crash would."""
+        for runner in self._runners:
+            for handler in runner.server.connections if runner.server else ():
+                if handler.transport is not None:
+                    handler.transport.abort()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/plantainway/requests/__init__.py
+++ b/plantainway/requests/__init__.py
@@ -23,10 +23,10 @@
 from plantainway.requests._retries import RetryBudget
 from plantainway.requests._routing import BaseChooser
 from plantainway.requests._routing import Candidate
-from plantainway.requests._routing import CostChooser
 from plantainway.requests._routing import InstanceHealth
 from plantainway.requests._routing import LeastReportedChooser
 from plantainway.requests._routing import RoundRobinChooser
+from plantainway.requests._routing import TurnChooser
 from plantainway.requests._services import ServiceRequest
 from plantainway.requests._services import ServiceRunner
 from plantainway.requests._sharing import LimitBook
--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -180,6 +180,7 @@
         self._end = None
         self._outcome = 'caller_gone'
         self._copy = None
+        self._priority = 0
         self._failure = None
 
     async def pieces(self):
@@ -220,6 +221,7 @@
         slot = await self._slot()
         try:
             self._view.prefixes.note(slot.copy.copy_id, self._digests)
+            self._priority = slot.priority
             async for piece in self._read(slot.copy, None):
                 yield piece
         finally:
@@ -301,7 +303,7 @@
                 copy.token,
                 self._req.body,
                 self._req.deadline,
-                self._req.rank,
+                self._priority,
                 prefix,
                 self._position,
                 self._req.req_id,
--- a/plantainway/requests/_dispatch.py
+++ b/plantainway/requests/_dispatch.py
@@ -12,12 +12,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Slot:
-    """A slot at a copy; ``since`` is monotonic seconds."""
+    """A slot at a copy.
+
+    ``priority`` is for the engine, ``since`` is monotonic seconds.
+    """
 
     copy: object
     model: str
     account: str
     rank: int
+    priority: int
     since: float
 
 
@@ -92,7 +96,10 @@
             NotRunError: If no copy may serve at all.
         """
         found, serving = self._view.candidates(
-            req.model, excluded, digests, room.ceiling(req.rank)
+            req.model,
+            excluded,
+            digests,
+            room.ceiling(req.rank, req.account),
         )
         if not serving:
             raise errors.NotRunError(
@@ -106,8 +113,16 @@
             return None
         copy = self._view.copy(chosen.name)
         self._view.loads.sent(copy.members[0][0])
+        priority = room.priority(req.rank, req.account)
         room.started(req.account, req.rank)
-        return Slot(copy, req.model, req.account, req.rank, self._clock.now())
+        return Slot(
+            copy,
+            req.model,
+            req.account,
+            req.rank,
+            priority,
+            self._clock.now(),
+        )
 
     def release(self, slot: Slot) -> None:
         """Gives a slot back.
--- a/plantainway/requests/_limits.py
+++ b/plantainway/requests/_limits.py
@@ -199,8 +199,14 @@
         self.demand = max(wanted, self.demand * DEMAND_FALL)
 
     def want(self) -> int:
-        """Returns the units that this node would like to borrow in all."""
+        """Returns the units that this node would like to borrow in all.
+
+        A node without a right of its own wants a few in any case, so that
+        its first requests need not wait for a loan.
+        """
         need = math.ceil(self.demand * HEADROOM)
+        if not self._right and self._limit.units:
+            need = max(need, UNITS_MIN)
         return max(need - self._right, 0)
 
     def lend(self, wants: dict[str, int], numbers: dict) -> dict[str, int]:
