Keep to equal parts of an engine's slots until reports show the rest

Cause: at 3 times the capacity the best rank waited 1.2 s for slots that the estimate called taken (17 to 20 requests an engine of 4 slots). All nodes filled engines at once before the lagging reports showed each other, then stood still. Ruled out: the event loop (lag p99 10 ms) and the engines' own queue (p95 0.4 s).

Change: a node keeps to an equal part and grows beyond it only as fast as reports can follow; fair shares are compared inside a rank.

--- a/plantainway/api/_operator.py
+++ b/plantainway/api/_operator.py
@@ -10,8 +10,10 @@
 from plantainway import evidence
 from plantainway import keys
 from plantainway import logs
+from plantainway import metrics
 from plantainway import objects
 
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 _OPERATOR = web.RequestKey('operator', str)
 
 
@@ -24,9 +26,11 @@
         objects_task: Keeper of the revision in force.
         store: Revision store.
         dump: Function that returns the state of all tasks.
+        collector: Collector of the node's metrics.
     """
 
-    def __init__(self, cfg, parts, objects_task, store, dump):
+    def __init__(self, cfg, parts, objects_task, store, dump, collector):
+        self._collector = collector
         self._cfg = cfg
         self._parts = parts
         self._objects = objects_task
@@ -47,6 +51,7 @@
         app.router.add_delete('/operator/objects/{kind}/{name}', self._delete)
         app.router.add_get('/operator/evidence', self._evidence)
         app.router.add_get('/operator/state', self._state)
+        app.router.add_get('/operator/metrics', self._metrics)
         return app
 
     @web.middleware
@@ -194,6 +199,12 @@
             }
         )
 
+    async def _metrics(self, request) -> web.Response:
+        return web.Response(
+            body=metrics.exposition(self._collector),
+            headers={'Content-Type': METRICS_TYPE},
+        )
+
     async def _state(self, request) -> web.Response:
         return web.json_response(self._dump())
 
--- a/plantainway/node.py
+++ b/plantainway/node.py
@@ -18,6 +18,7 @@
 from plantainway import evidence
 from plantainway import groups
 from plantainway import logs
+from plantainway import metrics
 from plantainway import objects
 from plantainway import peers
 from plantainway import platform
@@ -226,7 +227,14 @@
             self._services,
         )
         self._operator_api = api.OperatorApi(
-            cfg, parts, self._objects, store, self.dump
+            cfg,
+            parts,
+            self._objects,
+            store,
+            self.dump,
+            metrics.NodeCollector(
+                self.dump, self._chats.outcomes, self._chats.first_piece
+            ),
         )
 
     async def _open_sockets(self) -> None:
--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -9,6 +9,7 @@
 
 from plantainway import errors
 from plantainway import logs
+from plantainway import metrics
 from plantainway.requests import _affinity
 from plantainway.requests import _streams
 from plantainway import upstreams
@@ -104,6 +105,7 @@
         self._budget = budget
         self._dispatcher = dispatcher
         self.outcomes: collections.Counter = collections.Counter()
+        self.first_piece = metrics.Latency()
 
     async def run(self, req: ChatRequest):
         """Yields the pieces of an answer until its end mark.
@@ -121,8 +123,14 @@
         run = _Run(
             req, self._view, self._parts, self._budget, self._dispatcher
         )
+        started_at = self._parts.clock.now()
+        first = True
         try:
             async for piece in run.pieces():
+                if first:
+                    first = False
+                    waited_s = self._parts.clock.now() - started_at
+                    self.first_piece.note(waited_s)
                 yield piece
             self.outcomes['whole'] += 1
         except errors.PlantainwayError as exc:
--- a/plantainway/requests/_load.py
+++ b/plantainway/requests/_load.py
@@ -1,8 +1,10 @@
 """Load of upstreams: own requests, and what others are thought to have."""
 
 import collections
+import math
 
 AVERAGE_WEIGHT = 0.2  # of each new report in the running averages
+GROWTH = 1.25  # own requests against their usual number
 
 
 class _Head:
@@ -77,8 +79,30 @@
         Args:
             vm: Head VM.
         """
-        own = self._own[vm]
+        return self._own[vm] + self._others(vm)
+
+    def _others(self, vm: str) -> float:
         head = self._heads.get(vm)
         if head is None:
-            return float(own)
-        return own + max(head.reported_mean - head.own_mean, 0.0)
+            return 0.0
+        return max(head.reported_mean - head.own_mean, 0.0)
+
+    def may_take(self, vm: str, most: float, nodes: int) -> bool:
+        """Tells whether a VM may get one more request from this node.
+
+        Reports lag, so until they show what the others do, every node
+        keeps to an equal part. Beyond that it takes what the others leave,
+        growing no faster than reports can follow.
+
+        Args:
+            vm: Head VM.
+            most: Requests that the VM should have at most, from all nodes.
+            nodes: Live nodes.
+        """
+        own = self._own[vm]
+        if own < math.ceil(most / max(nodes, 1)):
+            return True
+        head = self._heads.get(vm)
+        usual = head.own_mean if head else 0.0
+        left = most - self._others(vm)
+        return own < min(left, usual * GROWTH + 1.0)
--- a/plantainway/requests/_queue.py
+++ b/plantainway/requests/_queue.py
@@ -6,10 +6,11 @@
 WAIT_MAX_S = 1.0  # longest predicted wait that is accepted
 SERVICE_START_S = 0.5
 SERVICE_WEIGHT = 0.1
-CEILING_FIRST = 4.0  # load per slot; the engine lets the best rank go first
+CEILING_FIRST = 2.0  # load per slot; the engine lets the best rank go first
 CEILING_OTHERS = 1.75  # the engine's short queue keeps its slots busy
 CEILING_OVER = 0.75  # for accounts that use more than their fair share
 OVER_RATIO = 1.5
+OVER_MIN = 2  # requests that are never too many
 ACTIVE_S = 5.0  # an account counts as active for so long after a request
 PRIORITY_STEP = 2  # engine priorities of one rank: fair share, and over it
 RESERVE_MAX = 0.4  # part of the slots kept free for better ranks
@@ -49,23 +50,25 @@
         self._running: collections.Counter = collections.Counter()
         self._service_s = SERVICE_START_S
         self._shares: dict[int, float] = {}
-        self._asked_at: dict[str, float] = {}
+        self._asked_at: dict[int, dict[str, float]] = {}
         self.waiting = 0
 
-    def is_over(self, account: str) -> bool:
-        """Tells whether an account uses more than its fair share.
+    def is_over(self, rank: int, account: str) -> bool:
+        """Tells whether an account uses more than its rank's fair share.
 
         Args:
+            rank: Rank of the account's requests.
             account: Name of the account.
         """
+        asked_at = self._asked_at.setdefault(rank, {})
         oldest = self._clock.now() - ACTIVE_S
-        active = [n for n, at in self._asked_at.items() if at > oldest]
-        if len(active) < len(self._asked_at):
-            self._asked_at = {n: self._asked_at[n] for n in active}
+        active = [name for name, at in asked_at.items() if at > oldest]
+        if len(active) < len(asked_at):
+            self._asked_at[rank] = {name: asked_at[name] for name in active}
         if len(active) < 2:
             return False
-        fair = self.running() / len(active)
-        return self._running[account] > max(OVER_RATIO * fair, 1.0)
+        fair = sum(self._running[name] for name in active) / len(active)
+        return self._running[account] > max(OVER_RATIO * fair, OVER_MIN)
 
     def priority(self, rank: int, account: str) -> int:
         """Returns the priority that an engine is told, lower goes first.
@@ -74,7 +77,7 @@
             rank: Rank of the request.
             account: Its account.
         """
-        return rank * PRIORITY_STEP + int(self.is_over(account))
+        return rank * PRIORITY_STEP + int(self.is_over(rank, account))
 
     def ceiling(self, rank: int, account: str) -> float:
         """Returns the load per slot from which a copy takes no more.
@@ -87,8 +90,9 @@
             rank: Rank of the request.
             account: Its account.
         """
-        self._asked_at[account] = self._clock.now()
-        if self.is_over(account):
+        asked_at = self._asked_at.setdefault(rank, {})
+        asked_at[account] = self._clock.now()
+        if self.is_over(rank, account):
             return CEILING_OVER
         if rank <= min(self._shares, default=rank):
             return CEILING_FIRST
--- a/plantainway/requests/_view.py
+++ b/plantainway/requests/_view.py
@@ -266,20 +266,22 @@
             order.sort(key=lambda copy: -shares[copy.copy_id])
         found = []
         serving = False
+        live = self._parts.book.live()
         for copy in order:
             if copy.copy_id in excluded or not self.verdict(copy).allowed:
                 continue
             serving = True
-            load = self.load(copy)
-            if load < ceiling:
+            head = copy.members[0][0]
+            most = ceiling * self._slots(copy)
+            if self.loads.may_take(head, most, len(live)):
                 found.append(
                     _routing.Candidate(
                         copy.copy_id,
-                        load,
-                        self.distance(copy.members[0][0]),
+                        self.load(copy),
+                        self.distance(head),
                         shares[copy.copy_id] if digests else 0.0,
                         self.pace.slow(copy.copy_id),
-                        self.loads.reported(copy.members[0][0]),
+                        self.loads.reported(head),
                         self._slots(copy),
                     )
                 )
