--- a/plantainway/groups/_planner.py
+++ b/plantainway/groups/_planner.py
@@ -59,6 +59,8 @@
         missing = []
         leaving = []
         vms = self._view.vms
+        serving = copy.state is CopyState.SERVING
+        mine = (copy.copy_id, copy.token)
         for member in copy.members:
             facts = vms.get(member.vm)
             if facts is None or facts.lost_since is not None:
@@ -72,6 +74,9 @@
             seen = sighting.seen
             if member.boot and seen.boot != member.boot:
                 missing.append(member.vm)
+            elif serving and (seen.copy_id, seen.token) != mine:
+                # An engine that ignores tokens obeyed an old order.
+                missing.append(member.vm)
             if facts.leaving or seen.leaving:
                 leaving.append(member.vm)
         self._missing[copy.copy_id] = missing
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -132,6 +132,10 @@
     fix.seen('f-c1-1', boot='b2', role='idle', copy_id='', token=0)
 
 
+def _obeyed_old_order(fix):
+    fix.seen('f-c1-1', token=0, role='ready')
+
+
 def _unseen(fix):
     fix.facts('f-c1-1', sighting=None)
 
@@ -212,6 +216,7 @@
         (_one_has_old_token, []),
         (_one_unseen, []),
         (_restarted, ['Reform']),
+        (_obeyed_old_order, ['Reform']),
         (_unseen, []),
         (_lost_briefly, []),
         (_lost_warm_spare_long, ['Reform']),
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -171,6 +171,16 @@
     assert 0.5 * LIMIT < most <= LIMIT
 
 
+def test_units_in_use_stay_lent():
+    """Long requests keep their borrowed units after the loans ran out."""
+    fleet = Fleet(kind=_limits.CONCURRENT)
+    fleet.run({'n0': LIMIT}, 5.0, hold_s=30.0)
+    assert len(fleet.running) > 0.9 * LIMIT
+    for _second in range(8):
+        fleet.run({'n1': LIMIT}, 1.0, hold_s=5.0)
+        assert len(fleet.running) <= LIMIT
+
+
 def test_moved_demand_is_met():
     """Demand that moves to another node gets 0.95 of it within 5 s."""
     fleet = Fleet()
--- a/tests/requests/test_queue.py
+++ b/tests/requests/test_queue.py
@@ -162,6 +162,8 @@
         ([('a', 1), ('a', 2), ('a', 2, True)], 3, False),
         ([('a', 1), ('a', 1), ('a', 2)], 2, False),
         ([('b', 1), ('a', 1)], 1, False),
+        ([('b', 0, True)], 0, False),
+        ([('b', 7), ('a', 1)], 1, False),
         ([('a', 1), ('a', 3)], 1, True),
         ([('a', 2)], 0, True),
         ([('a', 1), ('a', 3, True)], 1, True),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,10 +4,13 @@
 import json
 
 import pytest
+from websockets.asyncio import client as ws_client
+from websockets import exceptions as ws_exceptions
 
 from plantainway import client
 from plantainway import demo
 from plantainway import sessions
+from plantainway import wire
 
 CHAT = {
     'model': 'assistant',
@@ -157,6 +160,28 @@
     assert len(heads) == 1 and len(heads[0]) == 1
 
 
+@pytest.mark.parametrize(
+    'first',
+    [
+        wire.encode(wire.Hello(99, 'n9', 1, 'x')),
+        wire.encode(wire.Want(1)),
+        b'garbage',
+    ],
+)
+async def test_wrong_peers_are_refused(world, first):
+    """Another protocol version, or no hello, ends the link with a reason."""
+    node = world.nodes['praha-a-1']
+    async with ws_client.connect(
+        f'ws://{node.peer_address}', proxy=None
+    ) as conn:
+        await conn.send(first)
+        with pytest.raises(ws_exceptions.ConnectionClosed) as closed:
+            while True:
+                await conn.recv()
+    assert closed.value.rcvd.code == 1002
+    assert closed.value.rcvd.reason
+
+
 async def test_deadline_cancels_the_attempt(world):
     """A passed deadline ends the request with a code, and the engine's."""
     found = await ask(
