--- a/plantainway/groups/__init__.py
+++ b/plantainway/groups/__init__.py
@@ -5,7 +5,7 @@
 from plantainway.groups._apply import apply_action
 from plantainway.groups._apply import Changes
 from plantainway.groups._control import ControlTask
-from plantainway.groups._control import CopyDirectory
+from plantainway.groups._copies import CopyDirectory
 from plantainway.groups._lease import Lease
 from plantainway.groups._lease import LEASE_TERM_S
 from plantainway.groups._lease import LeaseObserver
--- a/plantainway/objects/_task.py
+++ b/plantainway/objects/_task.py
@@ -9,6 +9,7 @@
 from plantainway.objects import _revisions
 
 HEAD_POLL_S = 2.0
+NOTICED_POLL_S = 0.5  # after a peer told of a newer revision
 CATCH_UP_MAX = 32  # beyond this many revisions the whole set is read
 
 
@@ -58,6 +59,10 @@
             if isinstance(message, bus.DeltaArrived):
                 delta = message.delta
                 self.accept(delta.revision, delta.changes)
+            elif message.number > self.current.number:
+                # The peer sends what it has; the table has the rest.
+                soon = self._parts.clock.now() + NOTICED_POLL_S
+                poll_at = min(poll_at, soon)
 
     def accept(self, number: int, changes: list) -> None:
         """Takes in the changes of a revision that was committed.
