Form copies without searching all free VMs for each rank

Each rank looked through all free VMs for one that has its weights.

Change: free VMs in a dict, and an index from weights to a VM that has them.

--- a/plantainway/groups/_planner.py
+++ b/plantainway/groups/_planner.py
@@ -45,14 +45,17 @@
             if copy.state is CopyState.LOADING:
                 self._loading_vms += len(copy.members)
         self._releasing = []
-        self._free = []
+        free = []
         for vm, hold in view.holds.items():
             if hold.releasing:
                 self._releasing.append(vm)
             elif not hold.copy_id and view.vms[vm].usable:
-                self._free.append(vm)
+                free.append(vm)
         self._releasing.sort()
-        self._free.sort()
+        self._free = dict.fromkeys(sorted(free))
+        self._warm = {}
+        for vm in free:
+            self._warm.setdefault(view.vms[vm].sighting.seen.warm, vm)
 
     def _look_at_members(self, copy) -> None:
         """Notes which members are missing and which are leaving."""
@@ -335,16 +338,20 @@
             if not self._free:
                 break
             rank = copy.vms.index(lost)
-            vm = next(
-                (vm for vm in self._free if self._is_warm(spec, vm, rank)),
-                self._free[0],
-            )
-            self._free.remove(vm)
+            vm = self._take_free(spec, rank)
             chosen[lost] = vm
             if self._policy.prefetches and not self._is_warm(spec, vm, rank):
                 self._prefetches.append(_state.Prefetch(vm, spec, rank))
         return chosen
 
+    def _take_free(self, spec, rank: int) -> str:
+        """Takes a free VM for a rank, one that has its weights if any."""
+        vm = self._warm.get(spec.warm_label(rank))
+        if vm not in self._free:
+            vm = next(iter(self._free))
+        del self._free[vm]
+        return vm
+
     def _may_load(self, spec) -> bool:
         """Lets only as many VMs load at once as the weight store feeds."""
         if not self._policy.orders_loads:
@@ -525,11 +532,7 @@
     def _form(self, spec) -> None:
         vms = []
         for rank in range(spec.vms_per_copy):
-            vm = next(
-                (vm for vm in self._free if self._is_warm(spec, vm, rank)),
-                self._free[0],
-            )
-            self._free.remove(vm)
+            vm = self._take_free(spec, rank)
             vms.append(vm)
         self._actions.append(_state.Form(spec, tuple(vms)))
         self._loading_vms += len(vms)
