Record answers that a planned stop cut off

Cause: the check of graceful stops looked for records that nothing wrote, so it could only say held: the sending code compared the copy as it was when the request was sent, which never drains.

Change: the copy's present state decides whether a break was planned, and an answer that ends broken off leaves a record with it.

Figures: a test that kills an engine while its copy drains gets broken for graceful-stops; before, it got held.

--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -189,6 +189,7 @@
         self._outcome = 'caller_gone'
         self._copy = None
         self._priority = 0
+        self._planned = False
         self._failure = None
 
     async def pieces(self):
@@ -337,6 +338,9 @@
     def _fail(self):
         exc = self._failure
         self._outcome = 'failed'
+        self._parts.evidence.record(
+            'cut', req=self._req.req_id, planned=self._planned
+        )
         raise errors.OutcomeUnknownError(
             'the answer broke off' + (f': {exc.message}' if exc else ''),
             exc.step if exc else 'chat',
@@ -373,7 +377,8 @@
     def _note_failure(self, exc, copy, attempt, head) -> None:
         self._failure = exc
         self._excluded.add(copy.copy_id)
-        planned = copy.state == 'draining'
+        now = self._parts.copies.get(copy.copy_id)
+        self._planned = now is not None and now.state == 'draining'
         logs.event(
             'attempt_failed',
             'WARNING',
@@ -392,7 +397,7 @@
             )
         else:
             self._parts.evidence.record(
-                'broken', req=self._req.req_id, planned=planned
+                'broken', req=self._req.req_id, planned=self._planned
             )
         if not isinstance(exc, errors.OrderRefusedError):
             self._parts.board.suspect(head)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -160,6 +160,40 @@
     assert len(heads) == 1 and len(heads[0]) == 1
 
 
+async def test_cut_by_a_planned_stop_is_evidence(world):
+    """An answer that breaks off while its copy drains is a breach."""
+    pieces = []
+    caller = client.AskClient(
+        [world.nodes['praha-a-1'].caller_address],
+        world.caller_key,
+        world.session,
+    )
+    task = asyncio.ensure_future(
+        caller.ask(CHAT | {'max_tokens': 4000}, pieces.append)
+    )
+    while len(pieces) < 5:
+        await asyncio.sleep(0.01)
+    await world.operator().call(
+        'POST', 'apply', {'objects': world.objects(copies=0)}
+    )
+
+    async def draining():
+        copies = await world.copies()
+        return all(copy['state'] == 'draining' for copy in copies.values())
+
+    await demo.wait_for(draining, 'both copies drain')
+    for engine in world.fleet.engines.values():
+        if engine.chats:
+            await engine.die()
+    await asyncio.sleep(0.3)
+    task.cancel()
+    await world.nodes['praha-a-1'].flush_evidence()
+    found = await world.operator().call(
+        'GET', 'evidence', promise='graceful-stops'
+    )
+    assert found['answers'][0]['state'] == 'broken'
+
+
 @pytest.mark.parametrize(
     'first',
     [
