--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -29,8 +29,8 @@
     Mutant(
         'lease row checked in every commit',
         'plantainway/groups/_shard.py',
-        '(platform.Check(key, before), *checks),',
-        '(platform.Check(key, self._table._version_of(key)), *checks),',
+        '(stores.Check(key, before), *checks),',
+        '(stores.Check(key, self._table._version_of(key)), *checks),',
         'tests/groups/test_lease.py',
     ),
     Mutant(
@@ -42,17 +42,17 @@
     ),
     Mutant(
         'holder stops before observers act',
-        'plantainway/groups/_lease.py',
-        'return sent_at + LEASE_TERM_S - HOLDER_MARGIN_S',
-        'return sent_at + LEASE_TERM_S + HOLDER_MARGIN_S',
+        'plantainway/leases.py',
+        'return sent_at + term_s - margin_s',
+        'return sent_at + term_s + margin_s',
         'tests/groups/test_lease.py',
     ),
     Mutant(
         'VM rows checked when claimed',
         'plantainway/groups/_shard.py',
-        'platform.Check(VM_PREFIX + hold.vm, hold.row_version)\n'
+        'stores.Check(VM_PREFIX + hold.vm, hold.row_version)\n'
         '            for hold in holds\n',
-        'platform.Check(VM_PREFIX + hold.vm, hold.row_version)\n'
+        'stores.Check(VM_PREFIX + hold.vm, hold.row_version)\n'
         '            for hold in ()\n',
         'tests/groups/test_lease.py',
     ),
--- a/plantainway/bus.py
+++ b/plantainway/bus.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from plantainway import objects
-from plantainway import platform
+from plantainway import stores
 from plantainway import wire
 
 INBOX_MAX = 10000
@@ -35,7 +35,7 @@
 class VmListRead:
     """The platform's list was read."""
 
-    entries: dict[str, platform.VmEntry]
+    entries: dict[str, stores.VmEntry]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/plantainway/cluster/_hub.py
@@ -0,0 +1,309 @@
+"""The leader's links to all other nodes, and a node's link to the leader."""
+
+import asyncio
+import collections
+import contextlib
+
+import websockets
+from websockets.asyncio import client as ws_client
+from websockets.asyncio import server as ws_server
+
+from plantainway.cluster import _messages
+from plantainway import errors
+from plantainway import logs
+from plantainway import stores
+
+INTERVAL_MIN_S = 0.4
+INTERVAL_PER_NODE_S = 0.01  # keeps the leader's work even at many nodes
+NODE_LOST_S = 1.2  # a node that is silent for longer is not named to clients
+LINK_TIMEOUT_S = 1.0
+VOTES_MIN = 2
+NOT_LEADING = 1013  # websocket close code: try again later
+
+
+class _Link:
+    """One node at the leader."""
+
+    def __init__(self, conn):
+        self.conn = conn
+        self.sent: dict[str, int] = {}
+        self.wake = asyncio.Event()
+
+
+class Hub:
+    """Serves beats and digests while this node leads.
+
+    Args:
+        node: Name of the own node.
+        leadership: The lease.
+        followers: Followers of the tables that are passed on.
+        own_beat: Function that returns this node's own beat.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, node, leadership, followers, own_beat, clock):
+        self._node = node
+        self._leadership = leadership
+        self._followers = followers
+        self._own_beat = own_beat
+        self._clock = clock
+        self._server = None
+        self._links: dict[str, _Link] = {}
+        self._beats: dict[str, tuple[float, _messages.Beat]] = {}
+        self._inherited: dict[str, tuple[float, _messages.NodeInfo]] = {}
+        self.on_beat = []
+        for follower in followers:
+            follower.on_change.append(self._poke)
+
+    async def listen(self, address: str) -> str:
+        """Opens the listener.
+
+        Args:
+            address: ``IP:PORT``, port 0 for any.
+
+        Returns:
+            The address bound.
+        """
+        host, _, port = address.rpartition(':')
+        self._server = await ws_server.serve(
+            self._serve,
+            host,
+            int(port),
+            compression=None,
+            ping_interval=None,
+            max_size=_messages.MESSAGE_BYTES_MAX,
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f'{host}:{port}'
+
+    async def close(self) -> None:
+        """Closes all links."""
+        if self._server is not None:
+            self._server.close()
+
+    def _poke(self, _changed, _removed) -> None:
+        for link in self._links.values():
+            link.wake.set()
+
+    def poke(self) -> None:
+        """Sends digests soon."""
+        self._poke((), ())
+
+    def interval_s(self) -> float:
+        """Returns the seconds between two digests to a node."""
+        return max(INTERVAL_MIN_S, INTERVAL_PER_NODE_S * len(self._links))
+
+    def inherit(self, nodes) -> None:
+        """Takes over the nodes that the last leader named.
+
+        Args:
+            nodes: Nodes as last told.
+        """
+        now = self._clock.now()
+        self._inherited = {info.node: (now, info) for info in nodes}
+
+    def nodes(self) -> list[_messages.NodeInfo]:
+        """Returns the live nodes, this one included."""
+        now = self._clock.now()
+        own = self._own_beat().info
+        found = {own.node: own}
+        for name, (at, beat) in self._beats.items():
+            if now - at <= NODE_LOST_S + self.interval_s():
+                found.setdefault(name, beat.info)
+        for name, (at, info) in self._inherited.items():
+            if now - at <= NODE_LOST_S + INTERVAL_MIN_S:
+                found.setdefault(name, info)
+        return list(found.values())
+
+    def live_beats(self) -> list[_messages.Beat]:
+        """Returns the newest beats of the live nodes, this one included."""
+        oldest = self._clock.now() - NODE_LOST_S - self.interval_s()
+        beats = [beat for at, beat in self._beats.values() if at >= oldest]
+        return [*beats, self._own_beat()]
+
+    def loads(self) -> dict[str, int]:
+        """Returns the requests in progress of all nodes by upstream."""
+        total: dict[str, int] = {}
+        for beat in self.live_beats():
+            for name, count in beat.loads.items():
+                total[name] = total.get(name, 0) + count
+        return total
+
+    def suspects(self) -> list[str]:
+        """Returns the heads that several nodes suspect.
+
+        One node's suspicion may be a single slow request.
+        """
+        votes = collections.Counter(
+            name for beat in self.live_beats() for name in beat.suspects
+        )
+        return [name for name, count in votes.items() if count >= VOTES_MIN]
+
+    async def _serve(self, conn) -> None:
+        if not self._leadership.leads():
+            await conn.close(NOT_LEADING)
+            return
+        link = _Link(conn)
+        name = ''
+        sender = asyncio.ensure_future(self._send_digests(link))
+        try:
+            async for data in conn:
+                beat = _messages.decode(data, str(conn.remote_address))
+                name = beat.info.node
+                self._links[name] = link
+                self._beats[name] = (self._clock.now(), beat)
+                for listener in self.on_beat:
+                    listener(beat)
+        except (websockets.ConnectionClosed, errors.WireError) as exc:
+            logs.event(
+                'link_ended', 'INFO', peer=name, reason=repr(exc)[:100]
+            )
+        finally:
+            sender.cancel()
+            if self._links.get(name) is link:
+                del self._links[name]
+                # Gone at once, unless it comes back.
+                self._beats.pop(name, None)
+                self.poke()
+
+    async def _send_digests(self, link: _Link) -> None:
+        with contextlib.suppress(websockets.ConnectionClosed):
+            while self._leadership.leads():
+                await link.conn.send(_messages.encode(self._digest(link)))
+                link.wake.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(self.interval_s()):
+                        await link.wake.wait()
+            await link.conn.close(NOT_LEADING)
+
+    def _digest(self, link: _Link) -> _messages.Digest:
+        return _messages.Digest(
+            leader=self._node,
+            lease_version=self._leadership.version,
+            nodes=self.nodes(),
+            loads=self.loads(),
+            suspects=self.suspects(),
+            tables=[self._news(item, link) for item in self._followers],
+        )
+
+    def _news(self, follower, link: _Link) -> _messages.TableNews:
+        known = link.sent.get(follower.table, -1)
+        changes = follower.changes_since(known) if known >= 0 else None
+        whole = changes is None
+        rows, gone = (follower.rows.values(), ()) if whole else changes
+        link.sent[follower.table] = follower.revision
+        return _messages.TableNews(
+            table=follower.table,
+            rows=[
+                _messages.RelayedRow(row.key, row.value, row.version)
+                for row in rows
+            ]
+            + [
+                _messages.RelayedRow(key, None, follower.version)
+                for key in gone
+            ],
+            version=follower.version,
+            whole=whole,
+            age_ms=int(min(follower.age_s(), 3600.0) * 1000),
+        )
+
+    def dump(self) -> dict:
+        """Returns the state for the state dump."""
+        return {'links': sorted(self._links)}
+
+
+class HubClient:
+    """A node's link to the leader.
+
+    Args:
+        followers: Followers by table.
+        own_beat: Function that returns this node's beat.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, followers, own_beat, clock):
+        self._followers = {item.table: item for item in followers}
+        self._own_beat = own_beat
+        self._clock = clock
+        self._wake = asyncio.Event()
+        self.heard_at = float('-inf')
+        self.digest: _messages.Digest | None = None
+        self.sent_loads: dict[str, int] = {}
+        self.on_digest = []
+
+    def poke(self) -> None:
+        """Sends a beat soon."""
+        self._wake.set()
+
+    async def run_link(self, address: str) -> None:
+        """Keeps a link to a leader until it breaks or falls silent.
+
+        Args:
+            address: Address of the leader's hub.
+        """
+        try:
+            async with asyncio.timeout(LINK_TIMEOUT_S):
+                conn = await ws_client.connect(
+                    f'ws://{address}',
+                    compression=None,
+                    ping_interval=None,
+                    open_timeout=None,
+                    max_size=_messages.MESSAGE_BYTES_MAX,
+                    proxy=None,
+                )
+        except (OSError, TimeoutError, websockets.WebSocketException) as exc:
+            logs.event(
+                'leader_unreachable', peer=address, reason=repr(exc)[:100]
+            )
+            return
+        logs.event('leader_linked', peer=address)
+        sender = asyncio.ensure_future(self._send_beats(conn))
+        try:
+            while True:
+                async with asyncio.timeout(LINK_TIMEOUT_S):
+                    data = await conn.recv()
+                self._take(_messages.decode(data, address))
+        except (
+            TimeoutError,
+            OSError,
+            websockets.ConnectionClosed,
+            errors.WireError,
+        ) as exc:
+            logs.event('leader_lost', peer=address, reason=repr(exc)[:100])
+        finally:
+            sender.cancel()
+            conn.transport.abort()
+
+    async def _send_beats(self, conn) -> None:
+        with contextlib.suppress(websockets.ConnectionClosed):
+            while True:
+                beat = self._own_beat()
+                self.sent_loads = beat.loads
+                await conn.send(_messages.encode(beat))
+                self._wake.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(INTERVAL_MIN_S):
+                        await self._wake.wait()
+
+    def _take(self, digest) -> None:
+        now = self._clock.now()
+        self.heard_at = now
+        self.digest = digest
+        for news in digest.tables:
+            follower = self._followers.get(news.table)
+            if follower is None:
+                continue
+            as_of = now - news.age_ms / 1000
+            reading = stores.Reading(
+                tuple(
+                    stores.RawRow(row.key, row.value, row.version)
+                    for row in news.rows
+                ),
+                news.version,
+            )
+            if news.whole:
+                follower.load(reading, as_of)
+            else:
+                follower.apply(reading, as_of)
+        for listener in self.on_digest:
+            listener(digest)
--- a/plantainway/demo.py
+++ b/plantainway/demo.py
@@ -9,10 +9,10 @@
 from plantainway import errors
 from plantainway import keys
 from plantainway import node as nodes
-from plantainway import platform
 from plantainway import sessions
 from plantainway import settings
 from plantainway import standins
+from plantainway import stores
 
 STEP_TIMEOUT_S = 40.0
 POLL_S = 0.1
@@ -94,7 +94,7 @@
             leaving: Whether it is leaving.
         """
         self.platform.vm_list.update(
-            platform.VmEntry(
+            stores.VmEntry(
                 vm,
                 self.fleet.engines[vm].server.address,
                 self.domains[domain],
--- /dev/null
+++ b/plantainway/deployment/__init__.py
@@ -0,0 +1,16 @@
+"""What operators configured and which upstreams stand, as typed state."""
+
+from plantainway.deployment._configuration import Account
+from plantainway.deployment._configuration import Configuration
+from plantainway.deployment._configuration import EngineProfile
+from plantainway.deployment._configuration import Limits
+from plantainway.deployment._configuration import ModelProfile
+from plantainway.deployment._configuration import Route
+from plantainway.deployment._configuration import RouteKind
+from plantainway.deployment._configuration import RouteTable
+from plantainway.deployment._configuration import Service
+from plantainway.deployment._upstreams import EngineReport
+from plantainway.deployment._upstreams import GroupState
+from plantainway.deployment._upstreams import Membership
+from plantainway.deployment._upstreams import Upstream
+from plantainway.deployment._upstreams import UpstreamBook
--- /dev/null
+++ b/plantainway/edge/_metrics.py
@@ -0,0 +1,66 @@
+"""Metrics of a node on the users' platform as text."""
+
+import prometheus_client
+from prometheus_client import core
+
+
+class EdgeCollector:
+    """Collects the metrics when they are asked for.
+
+    Args:
+        node: The node.
+    """
+
+    def __init__(self, node):
+        self._node = node
+
+    def collect(self):
+        """Yields the metric families."""
+        state = self._node.dump()
+        for name, text, value in (
+            ('in_progress', 'Requests in progress', state['in_progress']),
+            ('configuration', 'Version in force', state['configuration']),
+            ('nodes', 'Nodes known', len(state['nodes'])),
+            ('upstreams', 'Upstreams known', state['upstreams']),
+            ('leads', 'Whether the node leads', int(state['leads'])),
+            ('store_calls', 'Calls to the store', state['store_calls']),
+        ):
+            yield core.GaugeMetricFamily(f'plantainway_{name}', text, value)
+        ages = core.GaugeMetricFamily(
+            'plantainway_table_age_seconds',
+            'Since when a table is known to be current',
+            labels=['table'],
+        )
+        for table, age in state['ages_s'].items():
+            ages.add_metric([table], age)
+        yield ages
+        waiting = core.GaugeMetricFamily(
+            'plantainway_waiting', 'Requests waiting', labels=['model']
+        )
+        for model, count in state['queues'].items():
+            waiting.add_metric([model], count)
+        yield waiting
+        ended = core.CounterMetricFamily(
+            'plantainway_requests', 'Requests ended', labels=['kind', 'end']
+        )
+        outcomes = self._node.outcomes
+        for (kind, end), count in sorted(outcomes.ended.items()):
+            ended.add_metric([kind, end], count)
+        yield ended
+        yield outcomes.first_event.family(
+            'plantainway_first_event_seconds', 'Time to the first event'
+        )
+        yield outcomes.whole.family(
+            'plantainway_request_seconds', 'Time to the end of a request'
+        )
+
+
+def exposition(node) -> bytes:
+    """Returns all metrics as text.
+
+    Args:
+        node: The node.
+    """
+    registry = prometheus_client.CollectorRegistry(auto_describe=False)
+    registry.register(EdgeCollector(node))
+    return prometheus_client.generate_latest(registry)
--- a/plantainway/errors.py
+++ b/plantainway/errors.py
@@ -179,6 +179,13 @@
     http_status = 503
 
 
+class HistoryLostError(PlantainwayError):
+    """The store no longer has the changes after a version."""
+
+    code = 'history_lost'
+    http_status = 410
+
+
 class OutcomeInDoubtError(PlantainwayError):
     """A transaction could not be settled before its deadline."""
 
@@ -197,16 +204,23 @@
 
     Args:
         sent: Whether any byte of the request may have reached it.
+        refused: Whether nobody, or somebody else, listens at its address.
     """
 
     code = 'upstream_failed'
     http_status = 502
 
     def __init__(
-        self, message: str, step: str = '', peer: str = '', sent: bool = True
+        self,
+        message: str,
+        step: str = '',
+        peer: str = '',
+        sent: bool = True,
+        refused: bool = False,
     ):
         super().__init__(message, step, peer)
         self.sent = sent
+        self.refused = refused
 
 
 class OrderRefusedError(UpstreamError):
--- a/plantainway/evidence/_records.py
+++ b/plantainway/evidence/_records.py
@@ -5,7 +5,7 @@
 
 from plantainway.evidence import _chain
 from plantainway import logs
-from plantainway import platform
+from plantainway import stores
 
 FLUSH_EVERY_S = 2.0
 RECORDS_MAX = 5000  # a fuller batch is written at once
@@ -91,7 +91,7 @@
         self._since = until
         self._records = []
 
-    async def write(self, store: platform.BaseObjectStore) -> bool:
+    async def write(self, store: stores.BaseObjectStore) -> bool:
         """Writes the sealed batches in order.
 
         Args:
@@ -104,8 +104,8 @@
             name, body, count = self._sealed[0]
             outcome = await store.put(name, body)
             if outcome not in (
-                platform.PutOutcome.STORED,
-                platform.PutOutcome.EXISTS,
+                stores.PutOutcome.STORED,
+                stores.PutOutcome.EXISTS,
             ):
                 return False
             self._sealed.pop(0)
@@ -121,7 +121,7 @@
         store: Object store.
     """
 
-    def __init__(self, recorder: Recorder, store: platform.BaseObjectStore):
+    def __init__(self, recorder: Recorder, store: stores.BaseObjectStore):
         self._recorder = recorder
         self._store = store
         self._lock = asyncio.Lock()
--- a/plantainway/evidence/_report.py
+++ b/plantainway/evidence/_report.py
@@ -4,15 +4,15 @@
 
 from plantainway.evidence import _chain
 from plantainway.evidence import _promises
-from plantainway import platform
+from plantainway import stores
 
 AUDIT_PREFIX = 'audit/'
 LAG_MAX_S = 10.0
 
 
 async def collect(
-    store: platform.BaseObjectStore,
-    table: platform.BaseTable,
+    store: stores.BaseObjectStore,
+    table: stores.BaseTable,
     since: float,
     until: float,
 ) -> _promises.Data:
--- a/plantainway/groups/__init__.py
+++ b/plantainway/groups/__init__.py
@@ -8,7 +8,6 @@
 from plantainway.groups._copies import CopyDirectory
 from plantainway.groups._lease import Lease
 from plantainway.groups._lease import LEASE_TERM_S
-from plantainway.groups._lease import LeaseObserver
 from plantainway.groups._orders import orders_due
 from plantainway.groups._planner import plan
 from plantainway.groups._policy import BasePolicy
--- a/plantainway/groups/_domain_control.py
+++ b/plantainway/groups/_domain_control.py
@@ -8,7 +8,7 @@
 from plantainway.groups import _shard_control
 from plantainway.groups import _state
 from plantainway import logs
-from plantainway import platform
+from plantainway import stores
 from plantainway import upstreams
 
 ALLOT_EVERY_S = 1.0
@@ -29,7 +29,7 @@
         self._watched_until = 0.0
         self._clear_at: dict[str, float] = {}
         self._order_at: dict[tuple, float] = {}
-        self._weights: dict[str, platform.WeightInfo] = {}
+        self._weights: dict[str, stores.WeightInfo] = {}
         self._allotted = _allotment.Allotment({}, {})
         self._allot_at = 0.0
 
@@ -94,7 +94,7 @@
             info = await self._parts.weight_store.describe(weights)
         except errors.PlantainwayError as exc:
             logs.event('weights_unknown', weights=weights, reason=exc.message)
-            info = platform.WeightInfo(weights, 0, 1, 1)
+            info = stores.WeightInfo(weights, 0, 1, 1)
         self._weights[weights] = info
 
     def _view(self, objects) -> _state.ShardView:
--- a/plantainway/groups/_lease.py
+++ b/plantainway/groups/_lease.py
@@ -1,12 +1,9 @@
-"""Leases over shards of control work.
-
-No clock is compared between VMs. The holder counts its deadline from just
-before it sent the renewal; an observer calls the lease lapsed once the row
-has stood unchanged for the whole term on its own clock.
-"""
+"""Leases over shards of control work."""
 
 import dataclasses
 
+from plantainway import leases
+
 LEASE_TERM_S = 6.0
 RENEW_EVERY_S = 2.0
 HOLDER_MARGIN_S = 0.5  # the holder stops this long before observers may act
@@ -64,40 +61,9 @@
 
 
 def holder_deadline(sent_at: float) -> float:
-    """Returns until when a holder may act.
+    """Returns until when the holder of a shard may act.
 
     Args:
         sent_at: Monotonic seconds just before the renewal was sent.
     """
-    return sent_at + LEASE_TERM_S - HOLDER_MARGIN_S
-
-
-class LeaseObserver:
-    """Decides from repeated readings whether a lease has lapsed."""
-
-    def __init__(self):
-        self._version = None
-        self._lapses_at = 0.0
-
-    def observe(self, version: int, holder: str, now: float) -> None:
-        """Takes in one reading of the row.
-
-        Args:
-            version: Version of the row.
-            holder: Holder that the row names, may be empty.
-            now: Monotonic seconds after the reading arrived.
-        """
-        if version != self._version:
-            self._version = version
-            self._lapses_at = now + LEASE_TERM_S if holder else now
-
-    def lapsed(self, now: float, patience_s: float = 0.0) -> bool:
-        """Tells whether the lease may be taken over.
-
-        Args:
-            now: Monotonic seconds.
-            patience_s: Further seconds to leave to better candidates.
-        """
-        return (
-            self._version is not None and now >= self._lapses_at + patience_s
-        )
+    return leases.holder_deadline(sent_at, LEASE_TERM_S, HOLDER_MARGIN_S)
--- a/plantainway/groups/_shard.py
+++ b/plantainway/groups/_shard.py
@@ -13,7 +13,8 @@
 from plantainway.groups import _apply
 from plantainway.groups import _lease
 from plantainway.groups import _state
-from plantainway import platform
+from plantainway import leases
+from plantainway import stores
 
 LEASE_PREFIX = 'shard/'
 COPY_PREFIX = 'copy/'
@@ -37,7 +38,7 @@
 
     def __init__(self, shard, node, incarnation, table, clock, wall=time.time):
         self.shard = shard
-        self.observer = _lease.LeaseObserver()
+        self.observer = leases.LeaseObserver(_lease.LEASE_TERM_S)
         self.lease: _lease.Lease | None = None
         self.deadline = 0.0
         self.copies: dict[str, _state.Copy] = {}
@@ -47,7 +48,7 @@
         self._table = table
         self._clock = clock
         self._wall = wall
-        self._row: platform.Row | None = None
+        self._row: stores.Row | None = None
 
     @property
     def held(self) -> bool:
@@ -80,7 +81,7 @@
         row = await self._table.read(LEASE_PREFIX + self.shard)
         self._row = row
         self.observer.observe(
-            row.version if row else platform.ABSENT,
+            row.version if row else stores.ABSENT,
             row.value['holder'] if row else '',
             self._clock.now(),
         )
@@ -125,14 +126,10 @@
             return
         key = LEASE_PREFIX + self.shard
         await self._table.commit(
-            platform.Transaction(
-                platform.new_txn_id(),
-                (platform.Check(key, self._row.version),),
-                (
-                    platform.Write(
-                        key, dataclasses.asdict(lease.handed_back())
-                    ),
-                ),
+            stores.Transaction(
+                stores.new_txn_id(),
+                (stores.Check(key, self._row.version),),
+                (stores.Write(key, dataclasses.asdict(lease.handed_back())),),
             )
         )
 
@@ -176,9 +173,7 @@
             StoreUnavailableError: If the table gave no answer.
         """
         writes = tuple(
-            platform.Write(
-                ALLOT_PREFIX + domain, dataclasses.asdict(allotment)
-            )
+            stores.Write(ALLOT_PREFIX + domain, dataclasses.asdict(allotment))
             for domain, allotment in sorted(domains.items())
         )
         await self._commit(self.lease.renewed(), (), writes)
@@ -208,8 +203,8 @@
         hold = self.holds[vm]
         await self._commit(
             self.lease.renewed(),
-            (platform.Check(VM_PREFIX + vm, hold.row_version),),
-            (platform.Write(VM_PREFIX + vm, None),),
+            (stores.Check(VM_PREFIX + vm, hold.row_version),),
+            (stores.Write(VM_PREFIX + vm, None),),
         )
         del self.holds[vm]
 
@@ -246,19 +241,17 @@
             audits=before.audits + 1,
         )
         checks = [
-            platform.Check(VM_PREFIX + hold.vm, hold.row_version)
+            stores.Check(VM_PREFIX + hold.vm, hold.row_version)
             for hold in holds
         ]
         writes = [
-            platform.Write(VM_PREFIX + hold.vm, _hold_value(hold))
+            stores.Write(VM_PREFIX + hold.vm, _hold_value(hold))
             for hold in holds
         ]
         for copy in copies:
-            checks.append(
-                platform.Check(self._copy_key(copy), copy.row_version)
-            )
+            checks.append(stores.Check(self._copy_key(copy), copy.row_version))
             value = _copy_value(copy) if copy.members else None
-            writes.append(platform.Write(self._copy_key(copy), value))
+            writes.append(stores.Write(self._copy_key(copy), value))
         audit = audit | {
             'copies': [_copy_value(copy) for copy in copies],
             'holds': [_hold_value(hold) for hold in holds],
@@ -267,7 +260,7 @@
             'wall': round(self._wall(), 3),
         }
         writes.append(
-            platform.Write(
+            stores.Write(
                 f'{AUDIT_PREFIX}{self.shard}/{lease.audits:012d}', audit
             )
         )
@@ -291,23 +284,23 @@
         self.check()
         key = LEASE_PREFIX + self.shard
         sent_at = self._clock.now()
-        before = self._row.version if self._row else platform.ABSENT
-        txn = platform.Transaction(
-            platform.new_txn_id(),
-            (platform.Check(key, before), *checks),
-            (platform.Write(key, dataclasses.asdict(lease)), *writes),
+        before = self._row.version if self._row else stores.ABSENT
+        txn = stores.Transaction(
+            stores.new_txn_id(),
+            (stores.Check(key, before), *checks),
+            (stores.Write(key, dataclasses.asdict(lease)), *writes),
         )
-        result = await platform.commit_settled(
+        result = await stores.commit_settled(
             self._table, txn, key, self._clock, self.deadline
         )
-        if result.outcome is platform.Outcome.COMMITTED:
+        if result.outcome is stores.Outcome.COMMITTED:
             self.lease = lease
             self.deadline = _lease.holder_deadline(sent_at)
-            self._row = platform.Row(
+            self._row = stores.Row(
                 key, dataclasses.asdict(lease), result.version, txn.txn_id
             )
             return result.version
-        if result.outcome is platform.Outcome.UNKNOWN:
+        if result.outcome is stores.Outcome.UNKNOWN:
             self.lease = None
             raise errors.LeaseLostError(result.reason, 'commit', self.shard)
         if result.reason != 'conflict':
--- a/plantainway/logs.py
+++ b/plantainway/logs.py
@@ -1,10 +1,13 @@
 """Structured logs: one line of key=value pairs for each event."""
 
 import json
+import os
 import sys
 
 import loguru
 
+LINES_PER_S = 200.0  # a node at letter size writes some 10 a second
+BURST_S = 5.0  # the rate may be exceeded for so long
 _HIDDEN = frozenset(('key', 'secret', 'authorization'))
 
 
@@ -31,6 +34,78 @@
     )
 
 
+class BoundedSink:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines over the rate, and lines for which the descriptor has no room, are
+    dropped; their number is written as soon as there is room again.
+
+    Args:
+        descriptor: Open file descriptor; made non-blocking.
+        clock: Source of monotonic time.
+        per_s: Lines a second over some seconds.
+    """
+
+    def __init__(self, descriptor: int, clock, per_s: float = LINES_PER_S):
+        self._descriptor = descriptor
+        self._clock = clock
+        self._per_s = per_s
+        self._allowance = per_s * BURST_S
+        self._filled_at = clock.now()
+        self._rest = b''
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: str) -> None:
+        """Writes a line or drops it.
+
+        Args:
+            line: The line with its end.
+        """
+        now = self._clock.now()
+        self._allowance = min(
+            self._allowance + (now - self._filled_at) * self._per_s,
+            self._per_s * BURST_S,
+        )
+        self._filled_at = now
+        if self._allowance < 1 or not self._send(b''):
+            self.dropped += 1
+            return
+        self._allowance -= 1
+        if self.dropped:
+            note = f'level=warning event=log_dropped lines={self.dropped}\n'
+            if not self._send(note.encode()):
+                self.dropped += 1
+                return
+            self.dropped = 0
+        if not self._send(line.encode(errors='replace')):
+            self.dropped += 1
+
+    def _send(self, data: bytes) -> bool:
+        """Writes bytes; a line is never cut by another.
+
+        Returns:
+            Whether the bytes are written or kept as the rest of a line.
+        """
+        if self._rest:
+            data, self._rest = self._rest + data, b''
+            kept = True
+        else:
+            kept = False
+        if not data:
+            return True
+        try:
+            done = os.write(self._descriptor, data)
+        except BlockingIOError:
+            done = 0
+        except OSError:
+            return False  # nobody will ever read it
+        if done == 0 and not kept:
+            return False
+        self._rest = data[done:]
+        return not self._rest or done > 0
+
+
 def configure(level: str = 'INFO', sink=None) -> None:
     """Sends every event at or above a level to one sink.
 
--- a/plantainway/node.py
+++ b/plantainway/node.py
@@ -21,10 +21,10 @@
 from plantainway import metrics
 from plantainway import objects
 from plantainway import peers
-from plantainway import platform
 from plantainway import requests
 from plantainway import sessions
 from plantainway import settings
+from plantainway import stores
 from plantainway import upstreams
 
 VM_LIST_POLL_S = 1.0
@@ -40,10 +40,10 @@
 
     clock: clocks.BaseClock
     bus: bus.Bus
-    table: platform.BaseTable
-    object_store: platform.BaseObjectStore
-    vm_list: platform.BaseVmList
-    weight_store: platform.BaseWeightStore
+    table: stores.BaseTable
+    object_store: stores.BaseObjectStore
+    vm_list: stores.BaseVmList
+    weight_store: stores.BaseWeightStore
     registry: peers.Registry
     book: peers.MemberBook
     board: groups.SightingBoard
@@ -117,7 +117,7 @@
 
     def _make_parts(self) -> NodeParts:
         cfg, session = self.cfg, self._session
-        table = platform.HttpTable(cfg.platform.table, session)
+        table = stores.HttpTable(cfg.platform.table, session)
         book = peers.MemberBook(cfg.node, self._clock)
 
         @functools.cache
@@ -132,11 +132,11 @@
             clock=self._clock,
             bus=bus.Bus(),
             table=table,
-            object_store=platform.HttpObjectStore(
+            object_store=stores.HttpObjectStore(
                 cfg.platform.object_store, session
             ),
-            vm_list=platform.HttpVmList(cfg.platform.vm_list, session),
-            weight_store=platform.HttpWeightStore(
+            vm_list=stores.HttpVmList(cfg.platform.vm_list, session),
+            weight_store=stores.HttpWeightStore(
                 cfg.platform.weight_store, session
             ),
             registry=peers.Registry(table, self._clock),
--- a/plantainway/objects/_revisions.py
+++ b/plantainway/objects/_revisions.py
@@ -11,7 +11,7 @@
 from plantainway import errors
 from plantainway.objects import _checks
 from plantainway.objects import _models
-from plantainway import platform
+from plantainway import stores
 
 HEAD_KEY = 'config/head'
 OBJECT_PREFIX = 'config/obj/'
@@ -120,7 +120,7 @@
         clock: Source of monotonic time.
     """
 
-    def __init__(self, table: platform.BaseTable, clock):
+    def __init__(self, table: stores.BaseTable, clock):
         self._table = table
         self._clock = clock
 
@@ -215,32 +215,30 @@
             return False
         proof = revision_key(new.number)
         writes = [
-            platform.Write(HEAD_KEY, {'revision': new.number}),
-            platform.Write(proof, {'changes': triples, 'author': author}),
+            stores.Write(HEAD_KEY, {'revision': new.number}),
+            stores.Write(proof, {'changes': triples, 'author': author}),
         ]
         for kind, name, body in triples:
             value = (
                 None if body is None else {'body': body, 'version': new.number}
             )
-            writes.append(
-                platform.Write(f'{OBJECT_PREFIX}{kind}/{name}', value)
-            )
-        txn = platform.Transaction(
-            platform.new_txn_id(),
+            writes.append(stores.Write(f'{OBJECT_PREFIX}{kind}/{name}', value))
+        txn = stores.Transaction(
+            stores.new_txn_id(),
             (
-                platform.Check(
-                    HEAD_KEY, head.version if head else platform.ABSENT
+                stores.Check(
+                    HEAD_KEY, head.version if head else stores.ABSENT
                 ),
-                platform.Check(proof, platform.ABSENT),
+                stores.Check(proof, stores.ABSENT),
             ),
             tuple(writes),
         )
-        result = await platform.commit_settled(
+        result = await stores.commit_settled(
             self._table, txn, proof, self._clock, self._clock.now() + SETTLE_S
         )
-        if result.outcome is platform.Outcome.COMMITTED:
+        if result.outcome is stores.Outcome.COMMITTED:
             return True
-        if result.outcome is platform.Outcome.UNKNOWN:
+        if result.outcome is stores.Outcome.UNKNOWN:
             raise errors.OutcomeInDoubtError(result.reason, 'publish')
         if result.reason == 'conflict':
             return False
--- a/plantainway/peers/_registry.py
+++ b/plantainway/peers/_registry.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from plantainway import errors
-from plantainway import platform
+from plantainway import stores
 
 PREFIX = 'nodes/'
 SETTLE_S = 8.0
@@ -32,7 +32,7 @@
         clock: Source of monotonic time.
     """
 
-    def __init__(self, table: platform.BaseTable, clock):
+    def __init__(self, table: stores.BaseTable, clock):
         self._table = table
         self._clock = clock
 
@@ -86,25 +86,21 @@
             if step == 0 and number != wanted.incarnation:
                 return wanted  # a newer incarnation owns the row
             new = dataclasses.replace(wanted, incarnation=number + step)
-            txn = platform.Transaction(
-                platform.new_txn_id(),
-                (
-                    platform.Check(
-                        key, row.version if row else platform.ABSENT
-                    ),
-                ),
-                (platform.Write(key, dataclasses.asdict(new)),),
+            txn = stores.Transaction(
+                stores.new_txn_id(),
+                (stores.Check(key, row.version if row else stores.ABSENT),),
+                (stores.Write(key, dataclasses.asdict(new)),),
             )
-            result = await platform.commit_settled(
+            result = await stores.commit_settled(
                 self._table,
                 txn,
                 key,
                 self._clock,
                 self._clock.now() + SETTLE_S,
             )
-            if result.outcome is platform.Outcome.COMMITTED:
+            if result.outcome is stores.Outcome.COMMITTED:
                 return new
-            if result.outcome is platform.Outcome.UNKNOWN:
+            if result.outcome is stores.Outcome.UNKNOWN:
                 raise errors.OutcomeInDoubtError(result.reason, 'register')
             if result.reason != 'conflict':
                 raise errors.StoreUnavailableError(result.reason, 'register')
--- /dev/null
+++ b/plantainway/platform/_names.py
@@ -0,0 +1,44 @@
+"""Header names, paths and words of the users' platform."""
+
+ACCOUNT = 'Tenant'
+DEADLINE = 'Deadline-Ms'
+EXPECT_UPSTREAM = 'Expect-Instance'
+KEY = 'Credential'
+LAST_EVENT = 'Last-Event-Id'
+LENGTH_HINT = 'Length-Hint'
+MODEL = 'Model'
+NOT_RUN = 'Not-Executed'
+PREFIX = 'Prefix-Hash'
+PRIORITY = 'Request-Priority'
+REQUEST_ID = 'Request-Id'
+RETRY_AFTER = 'Retry-After'
+SIGNATURE = 'Server-Stamp'
+TOKENS = 'Token-Count'
+
+CONFIG_TABLE = 'op'
+CONFIG_KEY = 'config'
+UPSTREAM_TABLE = 'servers'
+
+BLOB_PATHS = '/plantainway/blob-'
+FEED_PATH = '/plantainway/rows-feed'
+GET_PATH = '/plantainway/rows-get'
+ORDER_PATH = '/plantainway/order'
+READY_PATH = '/plantainway/readyz'
+REPORT_PATH = '/plantainway/report'
+RESOLVE_PATH = '/plantainway/resolution'
+TX_PATH = '/plantainway/rows-tx'
+
+# Headers that concern one connection only and are not passed on.
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
--- /dev/null
+++ b/plantainway/platform/_upstreams.py
@@ -0,0 +1,289 @@
+"""Client of the platform's runners: requests, orders and reports."""
+
+import asyncio
+import socket
+
+import aiohttp
+import multidict
+import yarl
+
+from plantainway import deployment
+from plantainway import errors
+from plantainway import supply
+from plantainway import traffic
+from plantainway.platform import _messages
+from plantainway.platform import _names
+
+CONNECT_TIMEOUT_S = 0.4  # a connection within the region takes some 5 ms
+IDLE_KEPT_S = 1.5  # idle connections of upstreams are dropped soon
+USER_TIMEOUT_MS = 4000  # unacknowledged bytes for longer: the peer is gone
+ORDER_TIMEOUT_S = 0.8
+REPORT_TIMEOUT_S = 0.35
+DEADLINE_MARGIN_MS = 5
+MISDIRECTED = 421
+AUTO_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
+# Headers that the system sets itself, whatever the client sent.
+_REPLACED = frozenset(
+    name.lower()
+    for name in (
+        _names.ACCOUNT,
+        _names.DEADLINE,
+        _names.EXPECT_UPSTREAM,
+        _names.KEY,
+        _names.LAST_EVENT,
+        _names.PRIORITY,
+    )
+) | {'content-length', 'host', 'expect'}
+
+
+def _open_socket(addr_info) -> socket.socket:
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def new_session(fresh: bool = False) -> aiohttp.ClientSession:
+    """Returns a session that sends each request once and as it is.
+
+    Args:
+        fresh: Whether each request gets a connection of its own.
+    """
+    options = {'force_close': True}
+    if not fresh:
+        options = {'keepalive_timeout': IDLE_KEPT_S}
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, socket_factory=_open_socket, **options
+        ),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=AUTO_HEADERS,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
+    session._retry_connection = False  # see plantainway.sessions
+    return session
+
+
+class PlatformReply(traffic.BaseReply):
+    """Answer of a runner.
+
+    Args:
+        resp: Response whose head has arrived.
+        peer: Name of the runner.
+    """
+
+    def __init__(self, resp: aiohttp.ClientResponse, peer: str):
+        self._resp = resp
+        self._peer = peer
+        self._protocol = resp.connection and resp.connection.protocol
+        headers = resp.headers
+        self.status = resp.status
+        self.headers = tuple(
+            (name, value)
+            for name, value in headers.items()
+            if name.lower() not in _names.HOP_BY_HOP
+            and name.lower() != 'content-length'
+        )
+        self.misdirected = resp.status == MISDIRECTED
+        self.not_run = self.misdirected or _names.NOT_RUN in headers
+        self.signed = _names.SIGNATURE in headers
+        self.at_fault = headers.get('At-Server', '')
+        self._framed = (
+            'Content-Length' in headers or 'Transfer-Encoding' in headers
+        )
+
+    async def read(self) -> bytes:
+        """Returns the whole body; see the base class."""
+        parts = []
+        while data := await self.next_chunk():
+            parts.append(data)
+        return b''.join(parts)
+
+    async def next_chunk(self) -> bytes:
+        """Returns the next bytes of the body; see the base class."""
+        try:
+            data = await self._resp.content.readany()
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            raise errors.UpstreamError(
+                f'body broke off: {exc!r}'[:120], 'body', self._peer
+            )
+        if not data and self._was_reset():
+            raise errors.UpstreamError(
+                'connection reset before the end', 'body', self._peer
+            )
+        return data
+
+    def _was_reset(self) -> bool:
+        """Tells whether a body that ends with its connection was cut.
+
+        The library takes any end of the connection for the body's end.
+        """
+        return (
+            not self._framed
+            and self._protocol is not None
+            and isinstance(self._protocol.exception(), aiohttp.ClientOSError)
+        )
+
+    def close(self) -> None:
+        """Gives the exchange up; see the base class."""
+        if self._resp.content.is_eof() and self._framed:
+            self._resp.release()
+        else:
+            self._resp.close()
+
+
+class RunnerClient(traffic.BaseUpstreamClient, supply.BaseEngineClient):
+    """Client of the platform's runners.
+
+    Args:
+        kept: Session whose connections are used again.
+        fresh: Session that opens one for each request.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, kept, fresh, clock):
+        self._kept = kept
+        self._fresh = fresh
+        self._clock = clock
+
+    async def send(self, sending: traffic.Sending) -> PlatformReply:
+        """Sends a request once; see the base class."""
+        req, upstream = sending.request, sending.upstream
+        session = self._fresh if sending.fresh else self._kept
+        left_ms = (sending.deadline - self._clock.now()) * 1000
+        headers = self._headers(sending, left_ms)
+        url = yarl.URL(f'http://{upstream.address}{req.target}', encoded=True)
+        try:
+            resp = await session.request(
+                req.method,
+                url,
+                headers=headers,
+                data=req.body or None,
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            raise errors.UpstreamError(
+                repr(exc)[:120], 'connect', upstream.name, sent=False
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            raise errors.UpstreamError(
+                repr(exc)[:120], 'request', upstream.name
+            )
+        echoed = resp.headers.get(_names.REQUEST_ID)
+        if echoed is not None and echoed != req.request_id:
+            resp.close()
+            raise errors.UpstreamError(
+                'answer to another request', 'request', upstream.name
+            )
+        return PlatformReply(resp, upstream.name)
+
+    def _headers(self, sending, left_ms) -> multidict.CIMultiDict:
+        req = sending.request
+        headers = multidict.CIMultiDict(
+            (name, value)
+            for name, value in req.headers
+            if name.lower() not in _REPLACED
+        )
+        headers['Host'] = req.host
+        headers[_names.DEADLINE] = str(
+            max(int(left_ms) - DEADLINE_MARGIN_MS, 1)
+        )
+        headers[_names.EXPECT_UPSTREAM] = sending.upstream.name
+        if sending.account:
+            headers[_names.ACCOUNT] = sending.account
+        if sending.after_event is not None:
+            headers[_names.LAST_EVENT] = str(sending.after_event)
+        if req.model:
+            headers[_names.PRIORITY] = str(sending.priority)
+        return headers
+
+    async def report(
+        self, upstream: deployment.Upstream
+    ) -> deployment.EngineReport:
+        """Asks an engine for its report; see the base class."""
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                async with self._kept.get(
+                    f'http://{upstream.address}{_names.REPORT_PATH}',
+                    headers={_names.EXPECT_UPSTREAM: upstream.name},
+                ) as resp:
+                    body = await resp.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise errors.UpstreamError(
+                repr(exc)[:120],
+                'report',
+                upstream.name,
+                refused=_is_refused(exc),
+            )
+        if resp.status != 200:
+            raise errors.UpstreamError(
+                f'status {resp.status}',
+                'report',
+                upstream.name,
+                refused=resp.status == MISDIRECTED,
+            )
+        return _messages.decode_report(body)
+
+    async def order(
+        self, upstream: deployment.Upstream, order: supply.Order
+    ) -> supply.OrderOutcome:
+        """Gives an engine an order; see the base class."""
+        body = _encode_order(order)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                async with self._fresh.post(
+                    f'http://{upstream.address}{_names.ORDER_PATH}',
+                    headers={
+                        _names.EXPECT_UPSTREAM: upstream.name,
+                        'Content-Type': 'application/json',
+                    },
+                    data=_messages.encode(body),
+                ) as resp:
+                    await resp.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            return supply.OrderOutcome(supply.Verdict.UNKNOWN, repr(exc)[:80])
+        return supply.OrderOutcome(
+            _VERDICTS.get(resp.status, supply.Verdict.REFUSED),
+            f'status {resp.status}',
+        )
+
+
+_VERDICTS = {
+    200: supply.Verdict.HOLDS,
+    202: supply.Verdict.BEGUN,
+    503: supply.Verdict.UNKNOWN,
+}
+
+
+def _is_refused(exc) -> bool:
+    """Tells whether the address has no listener any more."""
+    return isinstance(exc, aiohttp.ClientConnectorError) and isinstance(
+        exc.os_error, ConnectionRefusedError
+    )
+
+
+def _encode_order(order: supply.Order) -> dict:
+    body = {'op': order.kind.value}
+    if order.kind is supply.OrderKind.STAGE:
+        body['op'] = 'phase'  # loads weights onto the host
+        body['model'] = order.model
+        return body
+    body['group'] = order.group
+    body['epoch'] = order.epoch
+    if order.kind is supply.OrderKind.JOIN:
+        body['model'] = order.model
+        body['members'] = list(order.members)
+    if order.kind is supply.OrderKind.CLOSE:
+        body['closeMode'] = 'wait' if order.finish else 'cut'
+    return body
+
+
--- a/plantainway/requests/_group_commit.py
+++ b/plantainway/requests/_group_commit.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from plantainway import platform
+from plantainway import stores
 
 BATCH_MAX = 64
 SETTLE_S = 3.0
@@ -29,7 +29,7 @@
         clock: Source of monotonic time.
     """
 
-    def __init__(self, table: platform.BaseTable, clock):
+    def __init__(self, table: stores.BaseTable, clock):
         self._table = table
         self._clock = clock
         self._pending: list[_Pending] = []
@@ -37,7 +37,7 @@
         self.batches = 0
         self.rows = 0
 
-    async def put(self, row_key: str, checks, value) -> platform.CommitResult:
+    async def put(self, row_key: str, checks, value) -> stores.CommitResult:
         """Writes one row if its checks hold.
 
         Args:
@@ -84,13 +84,13 @@
         while batch:
             self.batches += 1
             self.rows += len(batch)
-            result = await platform.commit_settled(
+            result = await stores.commit_settled(
                 self._table,
-                platform.Transaction(
-                    platform.new_txn_id(),
+                stores.Transaction(
+                    stores.new_txn_id(),
                     tuple(check for item in batch for check in item.checks),
                     tuple(
-                        platform.Write(item.row_key, item.value)
+                        stores.Write(item.row_key, item.value)
                         for item in batch
                     ),
                 ),
--- a/plantainway/requests/_key_sweep.py
+++ b/plantainway/requests/_key_sweep.py
@@ -5,8 +5,8 @@
 from plantainway import errors
 from plantainway import logs
 from plantainway import peers
-from plantainway import platform
 from plantainway.requests import _keys
+from plantainway import stores
 
 EPOCH_S = 86400.0  # keys are kept for one to two epochs
 PAGE = 100  # rows removed in one transaction
@@ -58,7 +58,7 @@
         table = self._parts.table
         row = await table.read(_keys.EPOCH_KEY)
         epoch = row.value['epoch'] if row else 0
-        version = row.version if row else platform.ABSENT
+        version = row.version if row else stores.ABSENT
         now = self._parts.clock.now()
         if version != self._version:
             self._version = version
@@ -69,10 +69,10 @@
 
     async def _end_epoch(self, epoch: int, version: int) -> None:
         await self._parts.table.commit(
-            platform.Transaction(
-                platform.new_txn_id(),
-                (platform.Check(_keys.EPOCH_KEY, version),),
-                (platform.Write(_keys.EPOCH_KEY, {'epoch': epoch + 1}),),
+            stores.Transaction(
+                stores.new_txn_id(),
+                (stores.Check(_keys.EPOCH_KEY, version),),
+                (stores.Write(_keys.EPOCH_KEY, {'epoch': epoch + 1}),),
             )
         )
 
@@ -84,10 +84,10 @@
         if not old:
             return False
         await table.commit(
-            platform.Transaction(
-                platform.new_txn_id(),
-                tuple(platform.Check(r.key, r.version) for r in old),
-                tuple(platform.Write(r.key, None) for r in old),
+            stores.Transaction(
+                stores.new_txn_id(),
+                tuple(stores.Check(r.key, r.version) for r in old),
+                tuple(stores.Write(r.key, None) for r in old),
             )
         )
         self.removed += len(old)
--- a/plantainway/requests/_keys.py
+++ b/plantainway/requests/_keys.py
@@ -17,8 +17,8 @@
 import hashlib
 
 from plantainway import errors
-from plantainway import platform
 from plantainway.requests import _group_commit
+from plantainway import stores
 from plantainway import upstreams
 
 PREFIX = 'key/'
@@ -65,7 +65,7 @@
     def checks(self) -> tuple:
         """Returns checks that both rows are still as they were read."""
         return tuple(
-            platform.Check(key, row.version if row else platform.ABSENT)
+            stores.Check(key, row.version if row else stores.ABSENT)
             for key, row in zip(self.keys, self.rows, strict=True)
         )
 
@@ -92,7 +92,7 @@
         node: Name of the own node.
     """
 
-    def __init__(self, table: platform.BaseTable, clock, node: str):
+    def __init__(self, table: stores.BaseTable, clock, node: str):
         self._table = table
         self._clock = clock
         self._node = node
@@ -154,9 +154,9 @@
                     'body': body,
                 },
             )
-            if result.outcome is platform.Outcome.COMMITTED:
+            if result.outcome is stores.Outcome.COMMITTED:
                 return Begun(held.keys[0], attempt, result.version)
-            if result.outcome is platform.Outcome.UNKNOWN:
+            if result.outcome is stores.Outcome.UNKNOWN:
                 self._in_background(self.void(held.keys[0], attempt))
             elif result.reason == 'conflict':
                 held = await self._read(account, key)
@@ -213,10 +213,10 @@
             },
         }
         deadline = self._clock.now() + FINISH_S
-        check = platform.Check(begun.row_key, begun.version)
+        check = stores.Check(begun.row_key, begun.version)
         while self._clock.now() < deadline:
             result = await self.committer.put(begun.row_key, (check,), value)
-            if result.outcome is platform.Outcome.COMMITTED:
+            if result.outcome is stores.Outcome.COMMITTED:
                 return True
             if result.reason == 'conflict':
                 return False
@@ -248,13 +248,13 @@
                 or row.value['state'] != STARTED
             ):
                 return True
-            version = row.version if row else platform.ABSENT
+            version = row.version if row else stores.ABSENT
             result = await self.committer.put(
                 row_key,
-                (platform.Check(row_key, version),),
+                (stores.Check(row_key, version),),
                 {'state': VOID, 'attempt': attempt, 'node': self._node},
             )
-            if result.outcome is platform.Outcome.COMMITTED:
+            if result.outcome is stores.Outcome.COMMITTED:
                 return True
             await asyncio.sleep(RETRY_PAUSE_S)
         return False
--- a/plantainway/standins/_platform.py
+++ b/plantainway/standins/_platform.py
@@ -7,13 +7,13 @@
 from aiohttp import web
 
 from plantainway import errors
-from plantainway import platform
 from plantainway.standins import _faults
 from plantainway.standins import _server
 from plantainway.standins import _table
+from plantainway import stores
 
 
-class MemoryObjectStore(platform.BaseObjectStore):
+class MemoryObjectStore(stores.BaseObjectStore):
     """Blobs in memory, with faults.
 
     Args:
@@ -25,9 +25,9 @@
         self.blobs: dict[str, bytes] = {}
         self._names: list[str] = []
 
-    async def put(self, name: str, body: bytes) -> platform.PutOutcome:
+    async def put(self, name: str, body: bytes) -> stores.PutOutcome:
         """Stores a blob; see the base class."""
-        outcome = platform.PutOutcome
+        outcome = stores.PutOutcome
         await self.faults.delay()
         if self.faults.outage:
             return outcome.NOT_STORED
@@ -76,7 +76,7 @@
             raise errors.StoreUnavailableError('outage', step)
 
 
-class MemoryVmList(platform.BaseVmList):
+class MemoryVmList(stores.BaseVmList):
     """A list of VMs that may lag.
 
     Args:
@@ -101,7 +101,7 @@
             (self._now(), {entry.name: entry for entry in entries})
         )
 
-    def update(self, entry: platform.VmEntry) -> None:
+    def update(self, entry: stores.VmEntry) -> None:
         """Adds or changes one entry.
 
         Args:
@@ -121,7 +121,7 @@
         newest.pop(name, None)
         self._history.append((self._now(), newest))
 
-    async def read(self) -> list[platform.VmEntry]:
+    async def read(self) -> list[stores.VmEntry]:
         """Returns the list; see the base class."""
         await self.faults.delay()
         if self.faults.outage:
@@ -134,7 +134,7 @@
         return list(shown.values())
 
 
-class MemoryWeightStore(platform.BaseWeightStore):
+class MemoryWeightStore(stores.BaseWeightStore):
     """Weights with one rate for all readers together.
 
     Args:
@@ -152,14 +152,14 @@
         self.sizes: dict[str, int] = {}
         self._free_at = 0.0
 
-    async def describe(self, weights: str) -> platform.WeightInfo:
+    async def describe(self, weights: str) -> stores.WeightInfo:
         """Returns size and rate; see the base class."""
         await self.faults.delay()
         if self.faults.outage:
             raise errors.StoreUnavailableError('outage', 'weights_describe')
         if weights not in self.sizes:
             raise errors.NotFoundError(weights, 'weights_describe')
-        return platform.WeightInfo(
+        return stores.WeightInfo(
             weights, self.sizes[weights], self.rate, self.rate
         )
 
@@ -227,12 +227,12 @@
         outcome = await self.object_store.put(
             request.match_info['name'], await request.read()
         )
-        if outcome is platform.PutOutcome.UNKNOWN:
+        if outcome is stores.PutOutcome.UNKNOWN:
             _server.abort(request)
         status = {
-            platform.PutOutcome.STORED: 200,
-            platform.PutOutcome.EXISTS: 409,
-            platform.PutOutcome.NOT_STORED: 503,
+            stores.PutOutcome.STORED: 200,
+            stores.PutOutcome.EXISTS: 409,
+            stores.PutOutcome.NOT_STORED: 503,
         }[outcome]
         return web.Response(status=status)
 
@@ -267,7 +267,7 @@
     async def _set_vms(self, request):
         body = await request.json()
         self.vm_list.set_entries(
-            platform.VmEntry(**item) for item in body['vms']
+            stores.VmEntry(**item) for item in body['vms']
         )
         return web.Response()
 
--- a/plantainway/standins/_run.py
+++ b/plantainway/standins/_run.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
-from plantainway import platform
 from plantainway.standins import _engine
 from plantainway.standins import _platform
 from plantainway.standins import _service
+from plantainway import stores
 
 WEIGHT_BYTES = 200_000_000
 
@@ -42,7 +42,7 @@
         )
         await engine.start()
         entries.append(
-            platform.VmEntry(
+            stores.VmEntry(
                 name, item.address, item.place, item.fabric_domain, False
             )
         )
--- a/plantainway/standins/_table.py
+++ b/plantainway/standins/_table.py
@@ -5,12 +5,12 @@
 from aiohttp import web
 
 from plantainway import errors
-from plantainway import platform
 from plantainway.standins import _faults
 from plantainway.standins import _server
+from plantainway import stores
 
 
-class MemoryTable(platform.BaseTable):
+class MemoryTable(stores.BaseTable):
     """Transactional rows in memory, with faults.
 
     Args:
@@ -22,20 +22,20 @@
         self.reads = 0
         self.commits = 0
         self.writes = 0
-        self._rows: dict[str, platform.Row] = {}
+        self._rows: dict[str, stores.Row] = {}
         self._keys: list[str] = []
         self._version = 0
 
-    def rows(self) -> dict[str, platform.Row]:
+    def rows(self) -> dict[str, stores.Row]:
         """Returns all rows by key, without any fault."""
         return dict(self._rows)
 
-    async def read(self, key: str) -> platform.Row | None:
+    async def read(self, key: str) -> stores.Row | None:
         """Reads a row; see the base class."""
         await self._enter('table_read')
         return self._rows.get(key)
 
-    async def scan(self, prefix: str, limit: int = 0) -> list[platform.Row]:
+    async def scan(self, prefix: str, limit: int = 0) -> list[stores.Row]:
         """Lists rows; see the base class."""
         await self._enter('table_scan')
         start = bisect.bisect_left(self._keys, prefix)
@@ -46,20 +46,20 @@
             found.append(self._rows[key])
         return found
 
-    async def commit(self, txn: platform.Transaction) -> platform.CommitResult:
+    async def commit(self, txn: stores.Transaction) -> stores.CommitResult:
         """Applies a transaction; see the base class."""
-        outcome = platform.Outcome
+        outcome = stores.Outcome
         await self.faults.delay()
         if self.faults.outage:
-            return platform.CommitResult(outcome.NOT_COMMITTED, 'unavailable')
+            return stores.CommitResult(outcome.NOT_COMMITTED, 'unavailable')
         if self.faults.take_lost_request():
-            return platform.CommitResult(outcome.UNKNOWN, 'lost')
+            return stores.CommitResult(outcome.UNKNOWN, 'lost')
         result = self.apply(txn)
         if self.faults.take_lost_reply():
-            return platform.CommitResult(outcome.UNKNOWN, 'lost')
+            return stores.CommitResult(outcome.UNKNOWN, 'lost')
         return result
 
-    def apply(self, txn: platform.Transaction) -> platform.CommitResult:
+    def apply(self, txn: stores.Transaction) -> stores.CommitResult:
         """Applies a transaction without any fault.
 
         Args:
@@ -72,29 +72,29 @@
             if self._version_of(check.key) != check.version
         )
         if conflicts:
-            return platform.CommitResult(
-                platform.Outcome.NOT_COMMITTED, 'conflict', conflicts
+            return stores.CommitResult(
+                stores.Outcome.NOT_COMMITTED, 'conflict', conflicts
             )
         self._version += 1
         for write in txn.writes:
             self.writes += 1
             self._put(write, txn.txn_id)
-        return platform.CommitResult(
-            platform.Outcome.COMMITTED, version=self._version
+        return stores.CommitResult(
+            stores.Outcome.COMMITTED, version=self._version
         )
 
     def _version_of(self, key: str) -> int:
         row = self._rows.get(key)
-        return row.version if row else platform.ABSENT
+        return row.version if row else stores.ABSENT
 
-    def _put(self, write: platform.Write, txn_id: str) -> None:
+    def _put(self, write: stores.Write, txn_id: str) -> None:
         if write.value is None:
             if self._rows.pop(write.key, None) is not None:
                 self._keys.remove(write.key)
             return
         if write.key not in self._rows:
             bisect.insort(self._keys, write.key)
-        self._rows[write.key] = platform.Row(
+        self._rows[write.key] = stores.Row(
             write.key, write.value, self._version, txn_id
         )
 
@@ -128,15 +128,15 @@
     async def commit(request):
         body = await request.json()
         result = await table.commit(
-            platform.Transaction(
+            stores.Transaction(
                 body['txn'],
-                tuple(platform.Check(k, v) for k, v in body['checks']),
-                tuple(platform.Write(k, v) for k, v in body['writes']),
+                tuple(stores.Check(k, v) for k, v in body['checks']),
+                tuple(stores.Write(k, v) for k, v in body['writes']),
             )
         )
-        if result.outcome is platform.Outcome.UNKNOWN:
+        if result.outcome is stores.Outcome.UNKNOWN:
             _server.abort(request)
-        if result.outcome is platform.Outcome.COMMITTED:
+        if result.outcome is stores.Outcome.COMMITTED:
             return web.json_response({'version': result.version})
         if result.reason == 'conflict':
             return web.json_response(
@@ -149,7 +149,7 @@
     app.router.add_post('/commit', commit)
 
 
-def _row_json(row: platform.Row) -> dict:
+def _row_json(row: stores.Row) -> dict:
     return {
         'key': row.key,
         'value': row.value,
--- a/plantainway/platform/_http.py
+++ b/plantainway/stores/_http.py
@@ -5,8 +5,8 @@
 import aiohttp
 
 from plantainway import errors
-from plantainway.platform import _stores
-from plantainway.platform import _table
+from plantainway.stores import _stores
+from plantainway.stores import _table
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
--- /dev/null
+++ b/plantainway/supply/_control.py
@@ -0,0 +1,543 @@
+"""Keeps the replica groups of one service while this node leads."""
+
+import asyncio
+import dataclasses
+
+from plantainway import deployment
+from plantainway import errors
+from plantainway import logs
+from plantainway.supply import _orders
+from plantainway.supply import _plan
+from plantainway.supply import _repair
+from plantainway.supply import _state
+
+EPOCHS_PER_TERM = 100000  # epochs that one term may use
+TICK_S = 0.1
+PROBE_EVERY_S = 2.0  # the entries in the store tell of deaths within 4 s
+SILENT_AFTER = 2  # probes without an answer in a row
+GHOST_S = 8.0  # an engine whose entry is gone may still work for so long
+STARTING_LOADS_MAX = 8  # more at once don't end sooner
+LOADS_PER_S_PART = 0.8  # of the weight store's rate
+LOAD_TIME_RATIO = 1.6  # loads take longer when several run at once
+JOIN_S = 0.2
+START_LOAD_S = 12.0  # longest load before the first request
+KNOWN_KINDS = _orders.OrderKind
+
+
+class GroupController:
+    """Plans and orders the groups of one service.
+
+    Args:
+        service: Name of the service.
+        upstreams: The upstream book.
+        client: Client of the engines.
+        leadership: The lease; every order needs it.
+        clock: Source of monotonic time.
+        stall_s: Seconds after which a head without a member breaks.
+        spawn: Function that runs a coroutine as a task.
+    """
+
+    def __init__(
+        self, service, upstreams, client, leadership, clock, stall_s, spawn
+    ):
+        self.service = service
+        self._upstreams = upstreams
+        self._client = client
+        self._leadership = leadership
+        self._clock = clock
+        self._stall_s = stall_s
+        self._spawn = spawn
+        self.profile: deployment.EngineProfile | None = None
+        self._groups: dict[str, _state.GroupRecord] = {}
+        self._held: dict[str, float] = {}
+        self._busy: set[str] = set()
+        self._staging: dict[str, float] = {}
+        self._contact: dict[str, _Contact] = {}
+        self._ghosts: dict[str, tuple[float, deployment.Upstream]] = {}
+        self._epochs = 0
+        self._term = 0
+        self._seen: dict[str, str] = {}
+        self._load_starts: list[float] = []
+        self.traffic_seen = False
+
+    def _facts(self) -> dict[str, _state.EngineFacts]:
+        """Returns the engines with what is known of each."""
+        now = self._clock.now()
+        current = {
+            item.name: item
+            for item in self._upstreams.of_service(self.service)
+        }
+        for name, item in current.items():
+            self._ghosts.pop(name, None)
+            self._seen[name] = item.domain
+        for name in [
+            name
+            for name, (until, _item) in self._ghosts.items()
+            if until <= now
+        ]:
+            del self._ghosts[name]
+            self._contact.pop(name, None)
+        for name, (_until, item) in self._ghosts.items():
+            current[name] = item
+        facts = {}
+        for name, item in current.items():
+            contact = self._contact.get(name)
+            if contact is None:
+                facts[name] = _state.EngineFacts(item)
+            else:
+                facts[name] = contact.facts(item)
+        return facts
+
+    def note_removed(self, upstream: deployment.Upstream) -> None:
+        """Notes that an entry is gone; the engine may still work.
+
+        Args:
+            upstream: The engine as last seen.
+        """
+        if upstream.service != self.service:
+            return
+        self._ghosts[upstream.name] = (
+            self._clock.now() + GHOST_S,
+            dataclasses.replace(upstream, draining=True),
+        )
+
+    def suspect(self, head: str) -> None:
+        """Probes the members of a head's group at once.
+
+        Args:
+            head: Name of the head whose streams stall.
+        """
+        for record in self._groups.values():
+            if record.opened and record.members[0] == head:
+                for name in record.members:
+                    self._probe_soon(name)
+
+    def _probe_soon(self, name: str) -> None:
+        contact = self._contact.setdefault(name, _Contact())
+        if not contact.probing:
+            contact.probing = True
+            self._spawn(self._probe(name, contact))
+
+    async def _probe(self, name: str, contact: '_Contact') -> None:
+        try:
+            for _attempt in range(SILENT_AFTER):
+                upstream = self._find(name)
+                if upstream is None:
+                    return
+                asked_at = self._clock.now()
+                try:
+                    report = await self._client.report(upstream)
+                except (errors.UpstreamError, errors.WireError) as exc:
+                    contact.failed(asked_at, exc)
+                    if contact.is_gone or contact.is_silent:
+                        logs.event(
+                            'engine_lost',
+                            upstream=name,
+                            gone=contact.is_gone,
+                            reason=exc.message,
+                        )
+                        return
+                    continue
+                contact.answered(asked_at, report)
+                return
+        finally:
+            contact.probing = False
+
+    def _find(self, name: str) -> deployment.Upstream | None:
+        found = self._upstreams.by_name.get(name)
+        if found is None and name in self._ghosts:
+            found = self._ghosts[name][1]
+        return found
+
+    def _adopt(self, facts) -> None:
+        """Takes over the groups that serve when this term begins."""
+        self._groups.clear()
+        self._held.clear()
+        self._busy.clear()
+        self._staging.clear()
+        by_group: dict[tuple[str, int], list] = {}
+        for fact in facts.values():
+            member = fact.membership
+            if member is not None:
+                by_group.setdefault((member.group, member.epoch), []).append(
+                    fact
+                )
+        now = self._clock.now()
+        for (name, epoch), members in by_group.items():
+            head = next((f for f in members if f.membership.rank == 0), None)
+            states = {f.membership.state for f in members}
+            stands = head is not None and head.membership.state in (
+                deployment.GroupState.OPEN,
+                deployment.GroupState.CLOSING,
+            )
+            lost_head = head is None and (
+                deployment.GroupState.BROKEN not in states
+            )
+            if lost_head:
+                # Its head may still serve somewhere out of sight.
+                for fact in members:
+                    self._held[fact.name] = now + self._stall_s
+            if not stands:
+                continue
+            model = self.profile.model(head.membership.model)
+            size = model.members if model is not None else len(members)
+            ranks = {f.membership.rank: f.name for f in members}
+            record = _state.GroupRecord(
+                name,
+                epoch,
+                head.membership.model,
+                tuple(ranks.get(rank, '') for rank in range(size)),
+                now,
+                {f.name: f.upstream.born for f in members},
+                is_ours=False,
+                opened=True,
+            )
+            if head.membership.state is deployment.GroupState.CLOSING:
+                record.closing_since = now
+            self._groups[name] = record
+        logs.event(
+            'groups_adopted',
+            service=self.service,
+            term=self._term,
+            open=len(self._groups),
+            engines=len(facts),
+        )
+
+    def tick(self) -> None:
+        """Plans once and starts the orders."""
+        if self.profile is None or not self._leadership.leads():
+            return
+        facts = self._facts()
+        if self._term != self._leadership.term:
+            self._term = self._leadership.term
+            self._epochs = 0
+            self._adopt(facts)
+        now = self._clock.now()
+        self._probe_members(now)
+        views = self._views(facts)
+        for view in views:
+            for action in _repair.repair(
+                view, self._stall_s, now, self._expected_s
+            ):
+                self._apply(action, facts, now)
+        views = self._views(facts)
+        counts = self._counts(facts, views)
+        loads_free = self._loads_free(facts, now)
+        for action in _plan.form_groups(
+            views,
+            self.profile,
+            counts,
+            loads_free,
+            now,
+            not self.traffic_seen,
+        ):
+            self._apply(action, facts, now)
+        views = self._views(facts)
+        loads_free = self._loads_free(facts, now)
+        for action in _plan.stage_spares(
+            views, self.profile, counts, loads_free, now
+        ):
+            self._apply(action, facts, now)
+
+    def _probe_members(self, now: float) -> None:
+        """Probes members of open groups now and then, and ghosts."""
+        for record in self._groups.values():
+            for name in record.members:
+                contact = self._contact.get(name)
+                due = contact is None or now >= contact.next_at
+                if name and record.opened and due:
+                    self._contact.setdefault(name, _Contact()).next_at = (
+                        now + PROBE_EVERY_S
+                    )
+                    self._probe_soon(name)
+        for name, contact in self._contact.items():
+            if contact.silent_since is not None and now >= contact.next_at:
+                contact.next_at = now + PROBE_EVERY_S
+                self._probe_soon(name)
+
+    def _views(self, facts) -> list[_state.DomainView]:
+        domains: dict[str, dict] = {}
+        for name, fact in facts.items():
+            domains.setdefault(fact.upstream.domain, {})[name] = fact
+        groups: dict[str, dict] = {domain: {} for domain in domains}
+        for record in self._groups.values():
+            domain = next(
+                (
+                    facts[name].upstream.domain
+                    for name in record.members
+                    if name in facts
+                ),
+                None,
+            )
+            if domain is None:
+                domain = next(
+                    (
+                        self._seen[name]
+                        for name in record.members
+                        if name in self._seen
+                    ),
+                    '',
+                )
+            groups.setdefault(domain, {})[record.name] = record
+        busy = frozenset(self._busy | self._staging.keys())
+        return [
+            _state.DomainView(
+                domain, domains.get(domain, {}), groups[domain], self._held,
+                busy,
+            )
+            for domain in sorted(groups)
+        ]
+
+    def _counts(self, facts, views) -> _plan.Counts:
+        have: dict[str, int] = {}
+        for record in self._groups.values():
+            if record.closing_since is None:
+                have[record.model] = have.get(record.model, 0) + 1
+        wanted = _plan.wanted_groups(
+            self.profile, len(self._seen), len(views)
+        )
+        return _plan.Counts(have, wanted)
+
+    def _loads_free(self, facts, now: float) -> int:
+        loading = len(self._staging)
+        for record in self._groups.values():
+            if not record.opened:
+                loading += sum(
+                    1
+                    for name in record.members
+                    if name in facts
+                    and record.model not in facts[name].upstream.staged
+                )
+        free = max(STARTING_LOADS_MAX - loading, 0)
+        if not self.traffic_seen:
+            return free
+        self._load_starts = [at for at in self._load_starts if now - at < 1.0]
+        rate = int(self.profile.loads_per_s * LOADS_PER_S_PART)
+        return min(free, max(rate - len(self._load_starts), 0))
+
+    def _expected_s(self, record) -> float:
+        model = self.profile.model(record.model)
+        if model is None:
+            return JOIN_S
+        staged = all(
+            (found := self._find(name)) is not None
+            and record.model in found.staged
+            for name in record.members
+        )
+        if staged:
+            return model.warm_s
+        if not self.traffic_seen:
+            return START_LOAD_S
+        return model.load_s * LOAD_TIME_RATIO
+
+    def _apply(self, action, facts, now: float) -> None:
+        if isinstance(action, _state.Form):
+            self._form(action, facts, now)
+        elif isinstance(action, _state.Open):
+            record = self._groups[action.group]
+            record.open_sent_at = now
+            record.opened = True
+            self._log(action, record)
+            self._send(
+                _orders.Order(
+                    KNOWN_KINDS.OPEN,
+                    record.members[0],
+                    record.name,
+                    record.epoch,
+                )
+            )
+        elif isinstance(action, _state.Close):
+            record = self._groups[action.group]
+            record.closing_since = now
+            self._log(action, record)
+            self._send(
+                _orders.Order(
+                    KNOWN_KINDS.CLOSE,
+                    record.members[0],
+                    record.name,
+                    record.epoch,
+                    finish=action.finish,
+                )
+            )
+        elif isinstance(action, _state.Disband):
+            self._disband(action, facts, now)
+        elif isinstance(action, _state.Stage):
+            self._staging[action.upstream] = now
+            self._load_starts.append(now)
+            logs.event(
+                'stage', upstream=action.upstream, model=action.model
+            )
+            self._spawn(self._stage(action))
+
+    def _log(self, action, record) -> None:
+        logs.event(
+            type(action).__name__.lower(),
+            group=record.name,
+            epoch=record.epoch,
+            model=record.model,
+            members=','.join(record.members),
+            reason=getattr(action, 'reason', ''),
+        )
+
+    def _form(self, action, facts, now: float) -> None:
+        self._epochs += 1
+        epoch = self._term * EPOCHS_PER_TERM + self._epochs
+        record = _state.GroupRecord(
+            f'g{epoch}',
+            epoch,
+            action.model,
+            action.members,
+            now,
+            {name: facts[name].upstream.born for name in action.members},
+        )
+        self._groups[record.name] = record
+        for name in action.members:
+            if action.model not in facts[name].upstream.staged:
+                self._load_starts.append(now)
+        self._log(action, record)
+        for name in action.members:
+            self._send(
+                _orders.Order(
+                    KNOWN_KINDS.JOIN,
+                    name,
+                    record.name,
+                    epoch,
+                    action.model,
+                    action.members,
+                )
+            )
+
+    def _disband(self, action, facts, now: float) -> None:
+        record = self._groups.pop(action.group)
+        self._log(action, record)
+        if action.free_at <= now:
+            return
+        for name in record.members:
+            fact = facts.get(name)
+            if fact is None:
+                continue
+            self._held[name] = max(
+                action.free_at, self._held.get(name, action.free_at)
+            )
+            member = fact.membership
+            if (
+                fact.contact is _state.Contact.ANSWERS
+                and member is not None
+                and member.group == record.name
+            ):
+                self._send(
+                    _orders.Order(
+                        KNOWN_KINDS.LEAVE, name, record.name, record.epoch
+                    )
+                )
+
+    def _send(self, order) -> None:
+        self._spawn(self._order(order))
+
+    async def _order(self, order) -> None:
+        """Sends an order; its effect is seen in the engine's entry."""
+        upstream = self._find(order.upstream)
+        if upstream is None or not self._leadership.leads():
+            logs.event(
+                'order_dropped', upstream=order.upstream, op=order.kind.value
+            )
+            return
+        outcome = await self._client.order(upstream, order)
+        logs.event(
+            'order',
+            upstream=order.upstream,
+            op=order.kind.value,
+            group=order.group,
+            epoch=order.epoch,
+            outcome=outcome.verdict.value,
+            detail=outcome.detail,
+        )
+        if outcome.verdict is _orders.Verdict.UNKNOWN:
+            self._probe_soon(order.upstream)
+
+    async def _stage(self, action) -> None:
+        try:
+            await self._order(
+                _orders.Order(
+                    KNOWN_KINDS.STAGE, action.upstream, model=action.model
+                )
+            )
+            model = self.profile.model(action.model)
+            longest = (
+                model.load_s * LOAD_TIME_RATIO
+                if self.traffic_seen
+                else START_LOAD_S
+            )
+            deadline = self._clock.now() + longest
+            while self._clock.now() < deadline:
+                await asyncio.sleep(TICK_S)
+                upstream = self._find(action.upstream)
+                if upstream is None or action.model in upstream.staged:
+                    return
+        finally:
+            self._staging.pop(action.upstream, None)
+
+    async def run(self) -> None:
+        """Plans again and again while the node runs."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_S)
+
+    def dump(self) -> dict:
+        """Returns the state for the state dump."""
+        return {
+            'groups': {
+                name: {
+                    'model': record.model,
+                    'members': record.members,
+                    'opened': record.opened,
+                    'closing': record.closing_since is not None,
+                }
+                for name, record in self._groups.items()
+            },
+            'held': self._held,
+            'staging': sorted(self._staging),
+        }
+
+
+class _Contact:
+    """Answers of one engine to the controller's probes."""
+
+    def __init__(self):
+        self.next_at = 0.0
+        self.probing = False
+        self.silent_since: float | None = None
+        self.is_gone = False
+        self._failures = 0
+        self._born = 0
+
+    @property
+    def is_silent(self) -> bool:
+        """Tells whether it has failed to answer often enough."""
+        return self._failures >= SILENT_AFTER
+
+    def answered(self, _asked_at: float, report) -> None:
+        """Takes in a report."""
+        self._failures = 0
+        self.silent_since = None
+        self.is_gone = False
+        self._born = report.born
+
+    def failed(self, asked_at: float, exc) -> None:
+        """Takes in a probe without a report."""
+        self._failures += 1
+        if self.silent_since is None:
+            self.silent_since = asked_at
+        self.is_gone = getattr(exc, 'refused', False)
+
+    def facts(self, upstream) -> _state.EngineFacts:
+        """Returns the engine with what the probes say of it."""
+        if self.is_gone:
+            return _state.EngineFacts(
+                upstream, _state.Contact.GONE, self.silent_since
+            )
+        if self.is_silent:
+            return _state.EngineFacts(
+                upstream, _state.Contact.SILENT, self.silent_since
+            )
+        return _state.EngineFacts(upstream)
--- /dev/null
+++ b/plantainway/traffic/_stalls.py
@@ -0,0 +1,122 @@
+"""When a silent stream is taken for dead and moved to another group.
+
+Answers the load of groups that lose a member: the head goes on accepting
+and nothing moves until it breaks seconds later, while a pause of more than
+the route's limit makes the answer late. Also of slow upstreams, which are
+not left for their slowness alone.
+"""
+
+import dataclasses
+
+GAP_PART = 0.5  # of the route's longest pause, to leave time to resume
+FIRST_PART = 0.55  # of the route's target for the first event
+SLOW_RATIO = 3.0  # a pause this many times the usual one is a stall
+PACE_WEIGHT = 0.1
+SUSPECT_S = 0.6  # a head with a stalled stream gets no new work for so long
+LATE_S = 1.2  # patience with a stream that is late already
+
+
+@dataclasses.dataclass(slots=True)
+class HeadPace:
+    """What this node sees of one head; times in seconds.
+
+    ``progress_at`` is when any of its streams last moved.
+    """
+
+    progress_at: float = 0.0
+    gap_s: float = 0.05
+    first_s: float = 0.1
+
+
+class StallBook:
+    """Pauses of the streams of each head.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._paces: dict[str, HeadPace] = {}
+        self._suspects: dict[str, float] = {}
+
+    def _pace(self, name: str) -> HeadPace:
+        pace = self._paces.get(name)
+        if pace is None:
+            pace = self._paces[name] = HeadPace()
+        return pace
+
+    def note_first(self, name: str, took_s: float) -> None:
+        """Takes in the time to the first event of a stream.
+
+        Args:
+            name: Name of the head.
+            took_s: Seconds since the request was sent to it.
+        """
+        pace = self._pace(name)
+        pace.first_s += PACE_WEIGHT * (took_s - pace.first_s)
+        pace.progress_at = self._clock.now()
+        self._suspects.pop(name, None)
+
+    def note_gap(self, name: str, gap_s: float) -> None:
+        """Takes in a pause between two events.
+
+        Args:
+            name: Name of the head.
+            gap_s: Its length.
+        """
+        pace = self._pace(name)
+        pace.gap_s += PACE_WEIGHT * (gap_s - pace.gap_s)
+        pace.progress_at = self._clock.now()
+        self._suspects.pop(name, None)
+
+    def suspect(self, name: str) -> None:
+        """Notes that a stream of a head stalls.
+
+        Args:
+            name: Name of the head.
+        """
+        self._suspects[name] = self._clock.now() + SUSPECT_S
+
+    def is_suspect(self, name: str) -> bool:
+        """Tells whether a head should get no new work now.
+
+        Args:
+            name: Name of the head.
+        """
+        return self._suspects.get(name, 0.0) > self._clock.now()
+
+    def first_patience_s(self, name: str, route, spent_s: float) -> float:
+        """Returns how long to wait for a stream's first event.
+
+        Args:
+            name: Name of the head.
+            route: Route of the request.
+            spent_s: Seconds since the request arrived.
+        """
+        usual = self._pace(name).first_s * SLOW_RATIO
+        left_s = route.target_ms / 1000 - spent_s
+        if left_s <= 0:
+            return max(usual, LATE_S)
+        return max(usual, left_s * FIRST_PART)
+
+    def gap_patience_s(self, name: str, route) -> float:
+        """Returns how long to wait for a stream's next event.
+
+        Args:
+            name: Name of the head.
+            route: Route of the request.
+        """
+        usual = self._pace(name).gap_s * SLOW_RATIO
+        return max(usual, route.pause_ms / 1000 * GAP_PART)
+
+    def sync(self, names) -> None:
+        """Forgets heads that are gone.
+
+        Args:
+            names: Names that still stand.
+        """
+        for name in self._paces.keys() - names:
+            del self._paces[name]
+        for name in self._suspects.keys() - names:
+            del self._suspects[name]
--- /dev/null
+++ b/plantainway/traffic/_stream.py
@@ -0,0 +1,329 @@
+"""Streamed answers, resumed at another group if one breaks off."""
+
+import asyncio
+import dataclasses
+import enum
+
+from plantainway import errors
+from plantainway.traffic import _events
+from plantainway.traffic import _queue
+from plantainway.traffic import _types
+
+SENDS_MAX = 6  # sendings of a request, those that it was not run at included
+SILENCE_MIN_S = 2.0  # clients give a stream up after this or longer
+SILENCE_TARGETS = 4.0
+SILENCE_PAUSES = 8.0
+FULL_PAUSE_S = 0.02  # before another try after a group refused
+UNAVAILABLE_RETRY_S = 0.5
+PRIORITY_RESUMED = 0  # a pause in the middle of a stream counts at once
+PRIORITY_FIRST = 3
+
+
+class _End(enum.Enum):
+    """How one attempt ended."""
+
+    DONE = 'done'
+    NOT_RUN = 'not_run'
+    BROKEN = 'broken'
+    STALLED = 'stalled'
+    FAILED = 'failed'
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """State of one streamed answer over its attempts."""
+
+    req: _types.Request
+    route: object
+    service: str
+    account: str
+    priority: int
+    deadline: float
+    leaves_at: float
+    after_event: int | None
+    started: bool = False
+    runs: int = 0
+    sends: int = 0
+    excluded: set = dataclasses.field(default_factory=set)
+    last_event_at: float = 0.0
+    failure: _types.Answer | None = None
+    reason: str = ''
+
+
+class StreamRunner:
+    """Serves requests whose answer is a stream of events.
+
+    Args:
+        parts: What the runners share.
+    """
+
+    def __init__(self, parts):
+        self._parts = parts
+
+    async def serve(self, req, route, service, account, priority, sink):
+        """Serves one request.
+
+        Args:
+            req: The request.
+            route: Its route.
+            service: Name of the service.
+            account: Name of the client account, or empty.
+            priority: Rank of the request, 0 goes first.
+            sink: Where the events go.
+
+        Returns:
+            An answer, or ``None`` once the sink was used.
+        """
+        silence_s = max(
+            SILENCE_MIN_S,
+            SILENCE_TARGETS * route.target_ms / 1000,
+            SILENCE_PAUSES * route.pause_ms / 1000,
+        )
+        state = _Progress(
+            req,
+            route,
+            service,
+            account,
+            priority,
+            deadline=min(
+                req.deadline, req.arrived_at + route.timeout_ms / 1000
+            ),
+            leaves_at=min(req.deadline, req.arrived_at + silence_s),
+            after_event=req.after_event,
+        )
+        try:
+            async with asyncio.timeout(
+                max(state.deadline - self._parts.clock.now(), 0.0)
+            ):
+                done = await self._run(state, sink)
+        except TimeoutError:
+            done = False
+            state.reason = 'deadline passed'
+        if done:
+            return None
+        return self._give_up(state, sink)
+
+    def _give_up(self, state, sink):
+        """Ends a request that can't be served any more."""
+        if state.started:
+            sink.abort()
+            return None
+        if state.failure is not None:
+            return state.failure
+        if state.runs == 0:
+            return _types.Answer(
+                503, retry_after_s=UNAVAILABLE_RETRY_S, reason=state.reason
+            )
+        status = 504 if state.reason == 'deadline passed' else 502
+        return _types.Answer(status, reason=state.reason)
+
+    async def _run(self, state, sink) -> bool:
+        """Makes attempts until one completes the answer."""
+        parts = self._parts
+        route = state.route
+        while state.sends < SENDS_MAX:
+            if state.sends and not parts.budget.take(state.service):
+                state.reason = 'retry budget spent'
+                return False
+            try:
+                place = await self._place(state)
+            except errors.NotRunError as exc:
+                state.reason = exc.message
+                if state.runs == 0 and not state.started:
+                    state.failure = _types.Answer(
+                        503,
+                        retry_after_s=self._retry_after_s(state, exc),
+                        reason=exc.message,
+                    )
+                return False
+            state.sends += 1
+            end = await self._attempt(state, place, sink)
+            if end is _End.DONE:
+                return True
+            parts.outcomes.decided(
+                state.req,
+                'attempt_failed',
+                upstream=place.head.name,
+                group=place.head.membership.group,
+                end=end.value,
+                reason=state.reason,
+                runs=state.runs,
+                after_event=state.after_event,
+            )
+            state.excluded.add(place.head.name)
+            if end is _End.NOT_RUN:
+                await asyncio.sleep(FULL_PAUSE_S)
+                continue
+            if not route.is_idempotent or state.runs >= route.max_attempts:
+                return False
+        return False
+
+    def _retry_after_s(self, state, exc) -> float:
+        left_s = state.req.deadline - self._parts.clock.now()
+        if exc.reason == 'unavailable':
+            return _queue.retry_after_s(UNAVAILABLE_RETRY_S, left_s)
+        return _queue.retry_after_s(exc.retry_after_s, left_s)
+
+    async def _place(self, state):
+        req, route = state.req, state.route
+        prompt_until = req.arrived_at + route.target_ms / 1000
+        leaves_at = state.leaves_at
+        if state.started:
+            prompt_until = state.last_event_at + route.pause_ms / 1000
+            leaves_at = state.deadline
+        ticket = _queue.Ticket(
+            priority=-1 if state.started else state.priority,
+            arrived_at=req.arrived_at,
+            prompt_until=prompt_until,
+            leaves_at=leaves_at,
+            excluded=frozenset(state.excluded),
+        )
+        try:
+            return await self._parts.heads.place(
+                state.service, req.model, ticket
+            )
+        except errors.NotRunError:
+            if not state.excluded:
+                raise
+            # Every other group is full or gone: one that refused before may
+            # have room by now.
+            state.excluded.clear()
+            ticket.excluded = frozenset()
+            return await self._parts.heads.place(
+                state.service, req.model, ticket
+            )
+
+    async def _attempt(self, state, place, sink) -> _End:
+        parts, head = self._parts, place.head
+        reply = None
+        sent_at = parts.clock.now()
+        sending = _types.Sending(
+            state.req,
+            head,
+            state.account,
+            state.deadline,
+            priority=(
+                PRIORITY_RESUMED
+                if state.started
+                else min(PRIORITY_FIRST + state.priority, 9)
+            ),
+            after_event=state.after_event,
+        )
+        can_move = (
+            state.route.is_idempotent
+            and state.runs + 1 < state.route.max_attempts
+        )
+        try:
+            async with asyncio.timeout(None) as stall:
+                if can_move:
+                    self._wait_first(stall, state, head)
+                reply = await parts.client.send(sending)
+                if reply.status != 200:
+                    stall.reschedule(None)
+                    return await self._failed(state, head, reply)
+                state.runs += 1
+                return await self._forward(
+                    state, head, reply, sink, stall, sent_at, can_move
+                )
+        except TimeoutError:
+            if not stall.expired():
+                raise
+            if reply is None:
+                state.runs += 1
+            parts.stalls.suspect(head.name)
+            parts.note_failed(head, 'stalled')
+            state.reason = 'stalled'
+            return _End.STALLED
+        except errors.UpstreamError as exc:
+            state.reason = exc.message
+            if reply is None and exc.sent:
+                state.runs += 1
+            parts.note_failed(head, exc.message, certain=not exc.sent)
+            return _End.BROKEN if exc.sent else _End.NOT_RUN
+        finally:
+            parts.heads.release(place)
+            if reply is not None:
+                reply.close()
+
+    def _wait_first(self, stall, state, head) -> None:
+        parts = self._parts
+        now = parts.clock.now()
+        if state.started:
+            patience = parts.stalls.gap_patience_s(head.name, state.route) * 2
+        else:
+            patience = parts.stalls.first_patience_s(
+                head.name, state.route, now - state.req.arrived_at
+            )
+        stall.reschedule(asyncio.get_running_loop().time() + patience)
+
+    async def _failed(self, state, head, reply) -> _End:
+        """Takes in an answer that is no stream."""
+        parts = self._parts
+        body = await reply.read()
+        state.reason = f'status {reply.status}'
+        if reply.not_run:
+            if reply.misdirected:
+                parts.note_failed(head, 'misdirected', certain=True)
+            elif reply.at_fault:
+                parts.note_failed(head, f'lost {reply.at_fault}', certain=True)
+            return _End.NOT_RUN
+        state.runs += 1
+        state.failure = _types.Answer(reply.status, reply.headers, body)
+        parts.note_failed(head, state.reason)
+        return _End.FAILED
+
+    async def _forward(
+        self, state, head, reply, sink, stall, sent_at, can_move
+    ) -> _End:
+        """Passes events on until the stream ends."""
+        parts = self._parts
+        loop = asyncio.get_running_loop()
+        splitter = _events.EventSplitter()
+        moved_at = sent_at
+        first = True
+        while chunk := await reply.next_chunk():
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            now = parts.clock.now()
+            if first:
+                parts.stalls.note_first(head.name, now - sent_at)
+                first = False
+            else:
+                parts.stalls.note_gap(head.name, now - moved_at)
+            moved_at = now
+            # A client that reads slowly is no stall of the upstream.
+            stall.reschedule(None)
+            await self._pass_on(state, reply, events, sink)
+            if can_move:
+                patience = parts.stalls.gap_patience_s(head.name, state.route)
+                stall.reschedule(loop.time() + patience)
+        stall.reschedule(None)
+        if not state.started:
+            await sink.start(reply.status, reply.headers)
+            state.started = True
+        if splitter.rest:
+            await sink.write(splitter.rest)
+        await sink.finish()
+        parts.health.note_served(head.name)
+        return _End.DONE
+
+    async def _pass_on(self, state, reply, events, sink) -> None:
+        parts = self._parts
+        data = []
+        for event in events:
+            if event.number is not None:
+                if (
+                    state.after_event is not None
+                    and event.number <= state.after_event
+                ):
+                    continue  # the client has it
+                state.after_event = event.number
+            data.append(event.data)
+        if not state.started:
+            state.started = True
+            parts.outcomes.note_first(state.req)
+            await sink.start(reply.status, reply.headers)
+        state.last_event_at = parts.clock.now()
+        if data:
+            await sink.write(b''.join(data))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,9 +3,9 @@
 import pytest
 
 from plantainway import logs
-from plantainway import platform
 from plantainway import sessions
 from plantainway import standins
+from plantainway import stores
 
 logs.configure('ERROR')
 
@@ -39,7 +39,7 @@
 
 
 def _http_table(server, session):
-    table = platform.HttpTable(server.url, session)
+    table = stores.HttpTable(server.url, session)
     return TableUnderTest(table, server.table.faults)
 
 
--- a/tests/groups/test_fault_pairs.py
+++ b/tests/groups/test_fault_pairs.py
@@ -10,9 +10,9 @@
 from plantainway import clock
 from plantainway import errors
 from plantainway import groups
-from plantainway import platform
-from plantainway.platform import _table
 from plantainway import standins
+from plantainway import stores
+from plantainway.stores import _table
 from plantainway import wire
 
 STEP_S = 0.5
@@ -89,8 +89,8 @@
     async def commit(self, txn):
         """Commits unless cut."""
         if self.cut:
-            return platform.CommitResult(
-                platform.Outcome.NOT_COMMITTED, 'unavailable'
+            return stores.CommitResult(
+                stores.Outcome.NOT_COMMITTED, 'unavailable'
             )
         return await self.shared.commit(txn)
 
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -6,8 +6,9 @@
 from plantainway import errors
 from plantainway import groups
 from plantainway.groups import _lease
-from plantainway import platform
+from plantainway import leases
 from plantainway import standins
+from plantainway import stores
 
 SPEC = groups.GroupSpec('g', 'v', 'w', (), 1, 2, 1.0, 1.0, 1.0, 10.0)
 
@@ -166,7 +167,7 @@
     # A row changed behind the holder's back makes the claim fail whole.
     row = await shard.table.read('vm/vm-2')
     shard.table.apply(
-        platform.Transaction('x', (), (platform.Write(row.key, row.value),))
+        stores.Transaction('x', (), (stores.Write(row.key, row.value),))
     )
     with pytest.raises(errors.ConflictError):
         await shard.one.apply(FORM)
@@ -193,6 +194,6 @@
 def test_holder_stops_before_observers_act():
     """The holder's deadline lies before any observer's."""
     sent_at = 100.0
-    observer = _lease.LeaseObserver()
+    observer = leases.LeaseObserver(_lease.LEASE_TERM_S)
     observer.observe(1, 'n1', sent_at)
     assert not observer.lapsed(_lease.holder_deadline(sent_at))
--- a/tests/platform/test_stores.py
+++ b/tests/stores/test_stores.py
@@ -3,14 +3,14 @@
 import pytest
 
 from plantainway import errors
-from plantainway import platform
+from plantainway import stores
 
-PUT = platform.PutOutcome
-VM = platform.VmEntry('vm-1', '127.0.0.1:1', 'praha-a', 'fab-a', False)
+PUT = stores.PutOutcome
+VM = stores.VmEntry('vm-1', '127.0.0.1:1', 'praha-a', 'fab-a', False)
 
 
 @pytest.fixture(params=['memory', 'http'])
-def stores(request, platform_server, session):
+def opened(request, platform_server, session):
     """Object store, VM list and weight store of each implementation."""
     if request.param == 'memory':
         return (
@@ -20,9 +20,9 @@
         )
     url = platform_server.url
     return (
-        platform.HttpObjectStore(url, session),
-        platform.HttpVmList(url, session),
-        platform.HttpWeightStore(url, session),
+        stores.HttpObjectStore(url, session),
+        stores.HttpVmList(url, session),
+        stores.HttpWeightStore(url, session),
     )
 
 
@@ -36,10 +36,10 @@
     ],
 )
 async def test_put_is_create_only(
-    stores, platform_server, switches, first, again, stored
+    opened, platform_server, switches, first, again, stored
 ):
     """A name keeps its first content; unknown is said so."""
-    store = stores[0]
+    store = opened[0]
     faults = platform_server.object_store.faults
     for name, value in switches.items():
         setattr(faults, name, value)
@@ -55,32 +55,32 @@
         assert await store.names('p/') == ['p/x/1']
 
 
-async def test_names_are_ordered_and_by_prefix(stores):
+async def test_names_are_ordered_and_by_prefix(opened):
     """Names come in order."""
     for name in ('b/2', 'a/1', 'b/1'):
-        await stores[0].put(name, b'')
-    assert await stores[0].names('b/') == ['b/1', 'b/2']
+        await opened[0].put(name, b'')
+    assert await opened[0].names('b/') == ['b/1', 'b/2']
 
 
 @pytest.mark.parametrize(
     'switches, names',
     [({}, ['vm-1']), ({'lag_s': 1000.0}, [])],
 )
-async def test_vm_list(stores, platform_server, switches, names):
+async def test_vm_list(opened, platform_server, switches, names):
     """The list may be old."""
     platform_server.vm_list.set_entries([VM])
     for name, value in switches.items():
         setattr(platform_server.vm_list.faults, name, value)
-    assert [entry.name for entry in await stores[1].read()] == names
+    assert [entry.name for entry in await opened[1].read()] == names
 
 
-async def test_weights(stores, platform_server):
+async def test_weights(opened, platform_server):
     """Size and rate are known by name."""
     platform_server.weights.sizes['w1'] = 10
-    info = await stores[2].describe('w1')
+    info = await opened[2].describe('w1')
     assert (info.size_bytes, info.rate_bytes_per_second) == (10, 10**9)
     with pytest.raises(errors.NotFoundError):
-        await stores[2].describe('w2')
+        await opened[2].describe('w2')
 
 
 @pytest.mark.parametrize(
@@ -92,8 +92,8 @@
         ('weights', lambda s: s[2].describe('x')),
     ],
 )
-async def test_outage_is_a_coded_error(stores, platform_server, part, call):
+async def test_outage_is_a_coded_error(opened, platform_server, part, call):
     """An outage is never taken for an empty answer."""
     getattr(platform_server, part).faults.outage = True
     with pytest.raises(errors.StoreUnavailableError):
-        await call(stores)
+        await call(opened)
--- a/tests/platform/test_table.py
+++ b/tests/stores/test_table.py
@@ -6,17 +6,17 @@
 
 from plantainway import clock
 from plantainway import errors
-from plantainway import platform
+from plantainway import stores
 
-OUTCOME = platform.Outcome
+OUTCOME = stores.Outcome
 
 
 def txn(txn_id, checks=(), writes=()):
     """Returns a transaction from pairs."""
-    return platform.Transaction(
+    return stores.Transaction(
         txn_id,
-        tuple(platform.Check(*pair) for pair in checks),
-        tuple(platform.Write(*pair) for pair in writes),
+        tuple(stores.Check(*pair) for pair in checks),
+        tuple(stores.Write(*pair) for pair in writes),
     )
 
 
@@ -129,7 +129,7 @@
 
         any_table.table.commit = commit_after_rival
     clk = clock.MonotonicClock()
-    result = await platform.commit_settled(
+    result = await stores.commit_settled(
         any_table.table, CREATE_A, 'a', clk, clk.now() + 0.35
     )
     assert result.outcome is outcome
