--- a/plantainway/edge/_feeds.py
+++ b/plantainway/edge/_feeds.py
@@ -8,7 +8,7 @@
 
 LEADER_WAIT_S = 0.5  # the leader's polls end at least so often
 LEADER_PAUSE_S = 0.1  # changes that come together are read together
-STALE_S = 0.9  # without news from the leader, ask the store after so long
+STALE_S = 1.3  # without news from the leader, ask the store after so long
 MEMBER_PAUSE_S = 0.7
 RETRY_S = 0.3
 RETRY_MAX_S = 1.0
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -158,7 +158,7 @@
 
     def _encode(self, req, answer: traffic.Answer) -> web.Response:
         resp = web.Response(status=answer.status, body=answer.body)
-        del resp.headers['Content-Type']
+        resp.headers.popall('Content-Type', None)
         for name, value in answer.headers:
             resp.headers.add(name, value)
         if answer.retry_after_s:
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -15,7 +15,7 @@
 from plantainway.platform import _names
 
 CONNECT_TIMEOUT_S = 0.4  # a connection within the region takes some 5 ms
-IDLE_KEPT_S = 1.5  # idle connections of upstreams are dropped soon
+IDLE_KEPT_S = 8.0  # upstreams close idle connections after a while
 USER_TIMEOUT_MS = 4000  # unacknowledged bytes for longer: the peer is gone
 ORDER_TIMEOUT_S = 0.8
 REPORT_TIMEOUT_S = 0.35
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -126,19 +126,23 @@
                     return
                 asked_at = self._clock.now()
                 try:
-                    report = await self._client.report(upstream)
+                    await self._client.report(upstream)
                 except (errors.UpstreamError, errors.WireError) as exc:
                     contact.failed(asked_at, exc)
-                    if contact.is_gone or contact.is_silent:
+                    if not contact.is_gone and not contact.is_silent:
+                        continue
+                    if not contact.is_lost:
                         logs.event(
                             'engine_lost',
                             upstream=name,
                             gone=contact.is_gone,
                             reason=exc.message,
                         )
-                        return
-                    continue
-                contact.answered(asked_at, report)
+                    contact.is_lost = True
+                    return
+                if contact.is_lost:
+                    logs.event('engine_regained', upstream=name)
+                contact.answered()
                 return
         finally:
             contact.probing = False
@@ -164,37 +168,7 @@
                 )
         now = self._clock.now()
         for (name, epoch), members in by_group.items():
-            head = next((f for f in members if f.membership.rank == 0), None)
-            states = {f.membership.state for f in members}
-            stands = head is not None and head.membership.state in (
-                deployment.GroupState.OPEN,
-                deployment.GroupState.CLOSING,
-            )
-            lost_head = head is None and (
-                deployment.GroupState.BROKEN not in states
-            )
-            if lost_head:
-                # Its head may still serve somewhere out of sight.
-                for fact in members:
-                    self._held[fact.name] = now + self._stall_s
-            if not stands:
-                continue
-            model = self.profile.model(head.membership.model)
-            size = model.members if model is not None else len(members)
-            ranks = {f.membership.rank: f.name for f in members}
-            record = _state.GroupRecord(
-                name,
-                epoch,
-                head.membership.model,
-                tuple(ranks.get(rank, '') for rank in range(size)),
-                now,
-                {f.name: f.upstream.born for f in members},
-                is_ours=False,
-                opened=True,
-            )
-            if head.membership.state is deployment.GroupState.CLOSING:
-                record.closing_since = now
-            self._groups[name] = record
+            self._adopt_group(name, epoch, members, now)
         logs.event(
             'groups_adopted',
             service=self.service,
@@ -203,6 +177,57 @@
             engines=len(facts),
         )
 
+    def _adopt_group(self, name, epoch, members, now: float) -> None:
+        """Takes over one group of an earlier leader, as far as it stands."""
+        states = {f.membership.state for f in members}
+        ranks = {f.membership.rank: f.name for f in members}
+        head = next((f for f in members if f.membership.rank == 0), None)
+        if head is None:
+            if deployment.GroupState.BROKEN not in states:
+                # Its head may still serve somewhere out of sight.
+                for fact in members:
+                    self._held[fact.name] = now + self._stall_s
+            return
+        state = head.membership.state
+        opened = state in (
+            deployment.GroupState.OPEN,
+            deployment.GroupState.CLOSING,
+        )
+        model = self.profile.model(head.membership.model)
+        size = model.members if model is not None else len(members)
+        if not opened and not all(rank in ranks for rank in range(size)):
+            return
+        self._groups[name] = _state.GroupRecord(
+            name,
+            epoch,
+            head.membership.model,
+            tuple(ranks.get(rank, '') for rank in range(size)),
+            now,
+            {f.name: f.upstream.born for f in members},
+            is_ours=False,
+            opened=opened,
+            closing_since=(
+                now if state is deployment.GroupState.CLOSING else None
+            ),
+        )
+
+    def _adopt_strays(self, facts, now: float) -> None:
+        """Takes in open heads of groups that were given up."""
+        by_group: dict[tuple[str, int], list] = {}
+        for fact in facts.values():
+            member = fact.membership
+            if member is None or member.group in self._groups:
+                continue
+            by_group.setdefault((member.group, member.epoch), []).append(fact)
+        for (name, epoch), members in by_group.items():
+            if any(
+                f.upstream.is_open_head
+                and f.contact is _state.Contact.ANSWERS
+                for f in members
+            ):
+                logs.event('stray_group', group=name, epoch=epoch)
+                self._adopt_group(name, epoch, members, now)
+
     def tick(self) -> None:
         """Plans once and starts the orders."""
         if self.profile is None or not self._leadership.leads():
@@ -213,6 +238,7 @@
             self._epochs = 0
             self._adopt(facts)
         now = self._clock.now()
+        self._adopt_strays(facts, now)
         self._probe_members(now)
         views = self._views(facts)
         for view in views:
@@ -508,20 +534,20 @@
         self.probing = False
         self.silent_since: float | None = None
         self.is_gone = False
+        self.is_lost = False
         self._failures = 0
-        self._born = 0
 
     @property
     def is_silent(self) -> bool:
         """Tells whether it has failed to answer often enough."""
         return self._failures >= SILENT_AFTER
 
-    def answered(self, _asked_at: float, report) -> None:
+    def answered(self) -> None:
         """Takes in a report."""
         self._failures = 0
         self.silent_since = None
         self.is_gone = False
-        self._born = report.born
+        self.is_lost = False
 
     def failed(self, asked_at: float, exc) -> None:
         """Takes in a probe without a report."""
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -12,7 +12,7 @@
     """Groups of each model that stand or form, and how many are wanted."""
 
     have: dict[str, int]
-    want: dict[str, float]
+    want: dict[str, int]
 
     def need(self, model: str) -> float:
         """Returns the part of the wanted groups that a model has.
@@ -23,7 +23,7 @@
         return self.have.get(model, 0) / max(self.want.get(model, 0), 0.01)
 
 
-def wanted_groups(profile, engines: int, domains: int) -> dict[str, float]:
+def wanted_groups(profile, engines: int, domains: int) -> dict[str, int]:
     """Returns how many groups of each model the engines suffice for.
 
     Args:
@@ -32,12 +32,14 @@
         domains: Fabric domains, each of which keeps spares.
 
     Returns:
-        Wanted groups by model, as fractions.
+        Wanted groups by model, at least one of each.
     """
     total = sum(model.share for model in profile.models) or 1.0
     serving = max(engines - SPARES_PER_DOMAIN * domains, 0)
     return {
-        model.name: serving * model.share / total / model.members
+        model.name: max(
+            round(serving * model.share / total / model.members), 1
+        )
         for model in profile.models
     }
 
@@ -101,46 +103,78 @@
         The groups to form.
     """
     actions = []
-    idle = {view.domain: idle_engines(view, now) for view in views}
+    rooms = [_Room.of(view, now) for view in views]
     while True:
-        found = _next_group(idle, profile, counts, loads_free, starting)
+        models = sorted(
+            profile.models,
+            key=lambda model: (counts.need(model.name), -model.members),
+        )
+        found = None
+        for model in models:
+            if counts.need(model.name) < 1.0:
+                found = _best(rooms, model, profile, loads_free, starting)
+            if found is not None:
+                break
         if found is None:
             return actions
-        domain, model, chosen, loads = found
+        room, chosen, loads = found
         loads_free -= loads
         names = tuple(engine.name for engine in chosen)
         actions.append(_state.Form(model.name, names, 'idle engines'))
         counts.have[model.name] = counts.have.get(model.name, 0) + 1
-        idle[domain] = [e for e in idle[domain] if e.name not in names]
+        room.models.append(model.name)
+        room.idle = [e for e in room.idle if e.name not in names]
 
 
-def _next_group(idle, profile, counts, loads_free, starting):
-    models = sorted(
-        profile.models, key=lambda model: (counts.need(model.name), model.name)
-    )
-    for model in models:
-        if counts.need(model.name) >= 1.0:
+@dataclasses.dataclass(slots=True)
+class _Room:
+    """A domain while groups are formed: idle engines, models that stand."""
+
+    domain: str
+    idle: list
+    models: list
+
+    @classmethod
+    def of(cls, view, now: float) -> '_Room':
+        """Returns the room that a domain has."""
+        models = [record.model for record in view.groups.values()]
+        return cls(view.domain, idle_engines(view, now), models)
+
+
+def _best(rooms, model, profile, loads_free: int, starting: bool):
+    """Returns the domain and engines that a new group costs least."""
+    best = None
+    for room in rooms:
+        if len(room.idle) < model.members:
             continue
-        best = None
-        for domain, engines in idle.items():
-            if len(engines) < model.members:
-                continue
-            ranked = sorted(engines, key=lambda e: _rank(e, model.name))
-            chosen = ranked[: model.members]
-            loads = sum(
-                not _is_staged(engine, model.name) for engine in chosen
-            )
-            spare = len(engines) - model.members
-            if loads > loads_free:
-                continue
-            if starting and spare < SPARES_PER_DOMAIN:
-                continue
-            key = (loads, -spare, domain)
-            if best is None or key < best[0]:
-                best = (key, (domain, model, chosen, loads))
-        if best is not None:
-            return best[1]
-    return None
+        if starting and _is_kept_free(room, model, profile):
+            continue
+        ranked = sorted(room.idle, key=lambda e: _rank(e, model.name))
+        chosen = ranked[: model.members]
+        loads = sum(not _is_staged(engine, model.name) for engine in chosen)
+        if loads > loads_free:
+            continue
+        key = (
+            loads,
+            room.models.count(model.name),
+            model.members - len(room.idle),
+            room.domain,
+        )
+        if best is None or key < best[0]:
+            best = (key, (room, chosen, loads))
+    return best[1] if best is not None else None
+
+
+def _is_kept_free(room, model, profile) -> bool:
+    """Tells whether a domain's engines wait for a larger model at the start.
+
+    Engines register one by one: a small group formed of the first of them
+    would leave too few for a large one in the same domain.
+    """
+    return any(
+        other.members > model.members and other.name not in room.models
+        for other in profile.models
+    )
 
 
 def stage_spares(
@@ -163,6 +197,8 @@
     """
     actions = []
     names = {model.name for model in profile.models}
+    if any(counts.need(name) < 1.0 for name in names):
+        return actions  # groups go before spares
     for view in views:
         if loads_free <= 0:
             break
--- a/plantainway/supply/_repair.py
+++ b/plantainway/supply/_repair.py
@@ -93,6 +93,10 @@
     if not lost and all(
         engine.membership.state is _GroupState.READY for engine in engines
     ):
+        if not record.is_ours:
+            # An order of the earlier leader may still be on its way to a
+            # member; a new epoch shuts it out.
+            return _state.Disband(record.name, now, 'of an earlier leader')
         return _state.Open(record.name)
     if now - record.formed_at > expected_s(record) + JOIN_SLACK_S:
         return _state.Disband(record.name, now, 'members did not join in time')
