--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -94,9 +94,7 @@
                 gone[row.key] = row
             else:
                 changed[row.key] = row
-        self._take(
-            list(changed.values()), list(gone), reading.version, as_of
-        )
+        self._take(list(changed.values()), list(gone), reading.version, as_of)
 
     def _note_contact(self) -> None:
         now = self._clock.now()
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -51,6 +51,8 @@
         self._links: dict[str, _Link] = {}
         self._beats: dict[str, tuple[float, _messages.Beat]] = {}
         self._inherited: dict[str, tuple[float, _messages.NodeInfo]] = {}
+        self._work: dict[str, float] = {}
+        self._work_by_node: dict[str, dict[str, float]] = {}
         self.on_beat = []
         for follower in followers:
             follower.on_change.append(self._poke)
@@ -129,6 +131,23 @@
                 total[name] = total.get(name, 0) + count
         return total
 
+    def work(self) -> dict[str, float]:
+        """Returns the work asked of each model, over all beats ever seen.
+
+        A node that starts anew counts from zero: only increases count.
+        """
+        return dict(self._work)
+
+    def _add_work(self, beat) -> None:
+        known = self._work_by_node.setdefault(beat.info.node, {})
+        for key, total in beat.work.items():
+            before = known.get(key)
+            known[key] = total
+            if before is None:
+                continue  # what was asked before this link is not news
+            more = total - before if total >= before else total
+            self._work[key] = self._work.get(key, 0.0) + more
+
     def suspects(self) -> list[str]:
         """Returns the heads that several nodes suspect.
 
@@ -152,12 +171,12 @@
                 name = beat.info.node
                 self._links[name] = link
                 self._beats[name] = (self._clock.now(), beat)
+                self._add_work(beat)
+                self._add_work(self._own_beat())
                 for listener in self.on_beat:
                     listener(beat)
         except (websockets.ConnectionClosed, errors.WireError) as exc:
-            logs.event(
-                'link_ended', 'INFO', peer=name, reason=repr(exc)[:100]
-            )
+            logs.event('link_ended', 'INFO', peer=name, reason=repr(exc)[:100])
         finally:
             sender.cancel()
             if self._links.get(name) is link:
--- a/plantainway/cluster/_leadership.py
+++ b/plantainway/cluster/_leadership.py
@@ -8,9 +8,9 @@
 from plantainway import stores
 
 LEASE_KEY = 'leader'
-TERM_S = 3.0  # a leader that dies is replaced within about so long
-MARGIN_S = 0.5  # covers the steps between a check and its order
-RENEW_EVERY_S = 1.0
+TERM_S = 2.2  # a leader that dies is replaced within about so long
+MARGIN_S = 0.4  # covers the steps between a check and its order
+RENEW_EVERY_S = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +37,7 @@
     """
 
     def __init__(self, node: str, life: str, table, clock):
+        self._node = node
         self._id = f'{node}/{life}'
         self._table = table
         self._clock = clock
@@ -90,9 +91,17 @@
         Args:
             patience_s: Seconds to leave to other candidates.
         """
-        return self._seen and self._observer.lapsed(
-            self._clock.now(), patience_s
-        )
+        if not self._seen:
+            return False
+        if self._is_own_past():
+            return True  # its port is this process's now, so it has ended
+        return self._observer.lapsed(self._clock.now(), patience_s)
+
+    def _is_own_past(self) -> bool:
+        """Tells whether an earlier life of this node holds the lease."""
+        if self.holder is None or self.holder.node == self._id:
+            return False
+        return self.holder.node.rpartition('/')[0] == self._node
 
     async def take(self, address: str) -> bool:
         """Tries to become the leader.
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -26,14 +26,14 @@
     """What a node tells the leader.
 
     ``loads`` are its requests in progress by upstream, ``suspects`` the
-    heads whose streams stall, ``asked`` its streams by model since the last
-    beat.
+    heads whose streams stall. ``work`` is the work asked of each model since
+    the process began, in seconds of a group.
     """
 
     info: NodeInfo
     loads: dict[str, int]
     suspects: list[str]
-    asked: dict[str, int]
+    work: dict[str, float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/deployment/_configuration.py
+++ b/plantainway/deployment/_configuration.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 
 
 class RouteKind(enum.Enum):
@@ -69,6 +70,7 @@
     sequence_ms: float
     context_ms_per_k: float
     prefill_per_s: float
+    prefill_chunk: int
     stride: int
     usual_prompt: float
     usual_answer: float
@@ -77,6 +79,38 @@
     loads_per_s: float
     loads_at_once: int
 
+    def longest_pass_s(self, model: str) -> float:
+        """Returns the longest time that a group may take for one pass.
+
+        A pass with full slots and as many prompt tokens as fit into it.
+
+        Args:
+            model: Name of the model.
+        """
+        step_s = (self.step_ms + self.slots * self.sequence_ms) / 1000
+        chunk_s = self.prefill_chunk / max(self.prefill_per_s, 1.0)
+        found = self.model(model)
+        pace = found.pace if found is not None else 1.0
+        return self.stride * (step_s + chunk_s) * pace
+
+    def work_s(self, model: str, prompt: float, answer: float) -> float:
+        """Returns how long a stream keeps a group busy at a usual load.
+
+        Args:
+            model: Name of the model.
+            prompt: Prompt tokens.
+            answer: Answer tokens.
+
+        Returns:
+            Seconds of a group that runs half of its slots.
+        """
+        batch = max(self.slots / 2, 1.0)
+        step_s = (self.step_ms + batch * self.sequence_ms) / 1000
+        found = self.model(model)
+        pace = found.pace if found is not None else 1.0
+        prefill_s = prompt / max(self.prefill_per_s, 1.0)
+        return (prefill_s + answer * step_s / batch) * pace
+
     def model(self, name: str) -> ModelProfile | None:
         """Returns a model by name, ``None`` if there is none.
 
@@ -167,7 +201,7 @@
         """
         return self.accounts.get(key)
 
-    @property
+    @functools.cached_property
     def engines(self) -> dict[str, EngineProfile]:
         """Returns the engine profiles by service."""
         return {
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -24,7 +24,6 @@
 ELECTION_TICK_S = 0.25
 LOOK_EVERY_S = 0.8
 PATIENCE_MAX_S = 0.4  # candidates spread over so long
-RENEW_AFTER_S = 1.0
 SUSPECT_S = 1.0  # how long a suspicion is told to the leader
 STILL_ASKED_S = 0.5  # on top of the longest time that clients keep an answer
 KEPT_TIMES = 3.0  # some clients keep an answer of the directory so long
@@ -48,7 +47,7 @@
         self._leaving = False
         self._renew_at = 0.0
         self._suspects: dict[str, float] = {}
-        self._asked: dict[str, int] = {}
+        self._work: dict[str, float] = {}
         self._controllers: dict[str, supply.GroupController] = {}
         self._configuration: deployment.Configuration | None = None
         self.addresses: dict[str, str] = {}
@@ -182,7 +181,7 @@
             self._info(),
             dict(self._parts.loads.own),
             list(self._suspects),
-            dict(self._asked),
+            dict(self._work),
         )
 
     def _nodes(self):
@@ -228,6 +227,7 @@
                     self._clock,
                     self.cfg.bounds.head_stall_s,
                     self._spawn,
+                    lambda: self._upstream_rows.current_as_of,
                 )
                 self._controllers[name] = controller
                 self._spawn(controller.run())
@@ -294,10 +294,22 @@
         else:
             self._link.poke()
 
-    def _note_asked(self, model: str) -> None:
-        self._asked[model] = self._asked.get(model, 0) + 1
-        for controller in self._controllers.values():
-            controller.traffic_seen = True
+    def _note_asked(self, service: str, req, engine) -> None:
+        """Adds a stream to the work that was asked of a model so far."""
+        answer = req.length_hint or engine.usual_answer
+        work_s = engine.work_s(req.model, req.prompt_tokens, answer)
+        key = f'{service}/{req.model}'
+        self._work[key] = self._work.get(key, 0.0) + work_s
+
+    def _take_work(self, work: dict[str, float]) -> None:
+        for name, controller in self._controllers.items():
+            controller.note_work(
+                {
+                    key.rpartition('/')[2]: total
+                    for key, total in work.items()
+                    if key.rpartition('/')[0] == name
+                }
+            )
 
     def _suspect_at_controllers(self, names) -> None:
         for controller in self._controllers.values():
@@ -305,9 +317,7 @@
                 controller.suspect(name)
 
     def _take_beat(self, beat) -> None:
-        if beat.asked:
-            for controller in self._controllers.values():
-                controller.traffic_seen = True
+        self._take_work(self._hub.work())
         self._suspect_at_controllers(beat.suspects)
         self._take_loads(self._hub.loads(), self._parts.loads.own)
 
@@ -350,7 +360,7 @@
     async def _renew(self) -> None:
         if self._clock.now() < self._renew_at:
             return
-        self._renew_at = self._clock.now() + RENEW_AFTER_S
+        self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
         if not await self._leadership.renew():
             self._renew_at = self._clock.now() + ELECTION_TICK_S
         if not self._leadership.leads():
@@ -361,7 +371,7 @@
         leadership = self._leadership
         if leadership.may_take(patience_s) and not self._leaving:
             if await leadership.take(self.addresses['peer']):
-                self._renew_at = self._clock.now() + RENEW_AFTER_S
+                self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
                 if self._link.digest is not None:
                     self._hub.inherit(self._link.digest.nodes)
                 logs.event('leadership_taken', term=leadership.term)
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -6,9 +6,9 @@
 
 from plantainway import errors
 from plantainway import logs
-from plantainway import traffic
 from plantainway.platform import _messages
 from plantainway.platform import _names
+from plantainway import traffic
 
 DEADLINE_DEFAULT_MS = 30000.0  # for a client that names none
 KEEP_IDLE_S = 75.0  # longer than clients keep idle connections
--- a/plantainway/platform/_messages.py
+++ b/plantainway/platform/_messages.py
@@ -84,7 +84,8 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     read_per_s: float = 10000.0  # prompt tokens prefilled in a second
-    stride: int = 1
+    chunk: int = 1024  # most prompt tokens that one step prefills
+    stride: int = 1  # steps in a pass
     usual: _Usual = _Usual()
     kv_tokens: int = pydantic.Field(0, alias='kvCapacity')
     form_ms: float = pydantic.Field(0.0, alias='formMs')
@@ -110,6 +111,7 @@
             sequence_ms=self.per_seq_ms,
             context_ms_per_k=self.context_per_k,
             prefill_per_s=self.read_per_s,
+            prefill_chunk=self.chunk,
             stride=self.stride,
             usual_prompt=self.usual.prompt,
             usual_answer=self.usual.answer,
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -9,10 +9,10 @@
 
 from plantainway import deployment
 from plantainway import errors
-from plantainway import supply
-from plantainway import traffic
 from plantainway.platform import _messages
 from plantainway.platform import _names
+from plantainway import supply
+from plantainway import traffic
 
 CONNECT_TIMEOUT_S = 0.4  # a connection within the region takes some 5 ms
 IDLE_KEPT_S = 8.0  # upstreams close idle connections after a while
@@ -285,5 +285,3 @@
     if order.kind is supply.OrderKind.CLOSE:
         body['closeMode'] = 'wait' if order.finish else 'cut'
     return body
-
-
--- a/plantainway/stores/_feed.py
+++ b/plantainway/stores/_feed.py
@@ -36,9 +36,7 @@
         """
 
     @abc.abstractmethod
-    async def changes(
-        self, table: str, after: int, wait_s: float
-    ) -> Reading:
+    async def changes(self, table: str, after: int, wait_s: float) -> Reading:
         """Returns the changes after a version, in order.
 
         Args:
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -6,6 +6,7 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway import logs
+from plantainway.supply import _demand
 from plantainway.supply import _orders
 from plantainway.supply import _plan
 from plantainway.supply import _repair
@@ -20,6 +21,8 @@
 LOADS_PER_S_PART = 0.8  # of the weight store's rate
 LOAD_TIME_RATIO = 1.6  # loads take longer when several run at once
 JOIN_S = 0.2
+SETTLE_S = 0.5  # an open head shows in its entry within so long
+LEAVE_AGAIN_S = 1.0
 START_LOAD_S = 12.0  # longest load before the first request
 KNOWN_KINDS = _orders.OrderKind
 
@@ -35,10 +38,20 @@
         clock: Source of monotonic time.
         stall_s: Seconds after which a head without a member breaks.
         spawn: Function that runs a coroutine as a task.
+        current_as_of: Function that returns the monotonic time at which the
+            upstream book was last known to be current.
     """
 
     def __init__(
-        self, service, upstreams, client, leadership, clock, stall_s, spawn
+        self,
+        service,
+        upstreams,
+        client,
+        leadership,
+        clock,
+        stall_s,
+        spawn,
+        current_as_of,
     ):
         self.service = service
         self._upstreams = upstreams
@@ -47,17 +60,20 @@
         self._clock = clock
         self._stall_s = stall_s
         self._spawn = spawn
+        self._current_as_of = current_as_of
+        self._leads_since: float | None = None
         self.profile: deployment.EngineProfile | None = None
         self._groups: dict[str, _state.GroupRecord] = {}
         self._held: dict[str, float] = {}
-        self._busy: set[str] = set()
         self._staging: dict[str, float] = {}
+        self._releasing: dict[str, _Release] = {}
         self._contact: dict[str, _Contact] = {}
         self._ghosts: dict[str, tuple[float, deployment.Upstream]] = {}
         self._epochs = 0
         self._term = 0
         self._seen: dict[str, str] = {}
         self._load_starts: list[float] = []
+        self._demand = _demand.DemandMeter(clock)
         self.traffic_seen = False
 
     def _facts(self) -> dict[str, _state.EngineFacts]:
@@ -101,6 +117,16 @@
             dataclasses.replace(upstream, draining=True),
         )
 
+    def note_work(self, totals: dict[str, float]) -> None:
+        """Takes in the work that clients have asked for so far.
+
+        Args:
+            totals: Seconds of a group by model.
+        """
+        if any(totals.values()):
+            self.traffic_seen = True
+        self._demand.note(totals)
+
     def suspect(self, head: str) -> None:
         """Probes the members of a head's group at once.
 
@@ -157,8 +183,8 @@
         """Takes over the groups that serve when this term begins."""
         self._groups.clear()
         self._held.clear()
-        self._busy.clear()
         self._staging.clear()
+        self._releasing.clear()
         by_group: dict[tuple[str, int], list] = {}
         for fact in facts.values():
             member = fact.membership
@@ -177,6 +203,27 @@
             engines=len(facts),
         )
 
+    def _follow_releases(self, facts, now: float) -> None:
+        """Frees the members of groups whose head was seen to have left."""
+        for name, release in list(self._releasing.items()):
+            head = facts.get(release.head)
+            member = head.membership if head is not None else None
+            if (
+                head is None
+                or head.contact is not _state.Contact.ANSWERS
+                or member is None
+                or (member.group, member.epoch) != (name, release.epoch)
+            ):
+                del self._releasing[name]
+                continue
+            if now >= release.next_at:
+                release.next_at = now + LEAVE_AGAIN_S
+                self._send(
+                    _orders.Order(
+                        KNOWN_KINDS.LEAVE, release.head, name, release.epoch
+                    )
+                )
+
     def _adopt_group(self, name, epoch, members, now: float) -> None:
         """Takes over one group of an earlier leader, as far as it stands."""
         states = {f.membership.state for f in members}
@@ -216,13 +263,16 @@
         by_group: dict[tuple[str, int], list] = {}
         for fact in facts.values():
             member = fact.membership
-            if member is None or member.group in self._groups:
+            if (
+                member is None
+                or member.group in self._groups
+                or member.group in self._releasing
+            ):
                 continue
             by_group.setdefault((member.group, member.epoch), []).append(fact)
         for (name, epoch), members in by_group.items():
             if any(
-                f.upstream.is_open_head
-                and f.contact is _state.Contact.ANSWERS
+                f.upstream.is_open_head and f.contact is _state.Contact.ANSWERS
                 for f in members
             ):
                 logs.event('stray_group', group=name, epoch=epoch)
@@ -232,12 +282,18 @@
         """Plans once and starts the orders."""
         if self.profile is None or not self._leadership.leads():
             return
-        facts = self._facts()
+        now = self._clock.now()
         if self._term != self._leadership.term:
+            if self._leads_since is None:
+                self._leads_since = now
+            if self._current_as_of() < self._leads_since + SETTLE_S:
+                return  # the last leader's orders may not show yet
             self._term = self._leadership.term
+            self._leads_since = None
             self._epochs = 0
-            self._adopt(facts)
-        now = self._clock.now()
+            self._adopt(self._facts())
+        facts = self._facts()
+        self._follow_releases(facts, now)
         self._adopt_strays(facts, now)
         self._probe_members(now)
         views = self._views(facts)
@@ -261,7 +317,12 @@
         views = self._views(facts)
         loads_free = self._loads_free(facts, now)
         for action in _plan.stage_spares(
-            views, self.profile, counts, loads_free, now
+            views,
+            self.profile,
+            counts,
+            loads_free,
+            now,
+            not self.traffic_seen,
         ):
             self._apply(action, facts, now)
 
@@ -305,10 +366,15 @@
                     '',
                 )
             groups.setdefault(domain, {})[record.name] = record
-        busy = frozenset(self._busy | self._staging.keys())
+        busy = frozenset(self._staging.keys()).union(
+            *(release.members for release in self._releasing.values())
+        )
         return [
             _state.DomainView(
-                domain, domains.get(domain, {}), groups[domain], self._held,
+                domain,
+                domains.get(domain, {}),
+                groups[domain],
+                self._held,
                 busy,
             )
             for domain in sorted(groups)
@@ -320,7 +386,7 @@
             if record.closing_since is None:
                 have[record.model] = have.get(record.model, 0) + 1
         wanted = _plan.wanted_groups(
-            self.profile, len(self._seen), len(views)
+            self.profile, len(self._seen), len(views), self._demand.groups()
         )
         return _plan.Counts(have, wanted)
 
@@ -390,9 +456,7 @@
         elif isinstance(action, _state.Stage):
             self._staging[action.upstream] = now
             self._load_starts.append(now)
-            logs.event(
-                'stage', upstream=action.upstream, model=action.model
-            )
+            logs.event('stage', upstream=action.upstream, model=action.model)
             self._spawn(self._stage(action))
 
     def _log(self, action, record) -> None:
@@ -436,6 +500,10 @@
     def _disband(self, action, facts, now: float) -> None:
         record = self._groups.pop(action.group)
         self._log(action, record)
+        if action.head_leaves:
+            self._releasing[record.name] = _Release(
+                record.members[0], record.epoch, frozenset(record.members)
+            )
         if action.free_at <= now:
             return
         for name in record.members:
@@ -479,6 +547,9 @@
             detail=outcome.detail,
         )
         if outcome.verdict is _orders.Verdict.UNKNOWN:
+            record = self._groups.get(order.group)
+            if order.kind is KNOWN_KINDS.OPEN and record is not None:
+                record.open_in_doubt = True
             self._probe_soon(order.upstream)
 
     async def _stage(self, action) -> None:
@@ -506,7 +577,16 @@
     async def run(self) -> None:
         """Plans again and again while the node runs."""
         while True:
-            self.tick()
+            try:
+                self.tick()
+            except Exception as exc:
+                # A fault in one plan must not end the repair of groups.
+                logs.event(
+                    'planning_failed',
+                    'ERROR',
+                    service=self.service,
+                    reason=repr(exc),
+                )
             await asyncio.sleep(TICK_S)
 
     def dump(self) -> dict:
@@ -526,6 +606,16 @@
         }
 
 
+class _Release:
+    """A group whose head must be seen to have left; times are monotonic."""
+
+    def __init__(self, head: str, epoch: int, members: frozenset):
+        self.head = head
+        self.epoch = epoch
+        self.members = members
+        self.next_at = 0.0
+
+
 class _Contact:
     """Answers of one engine to the controller's probes."""
 
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -1,10 +1,25 @@
 """Which groups to form of idle engines, and what to stage on spares."""
 
 import dataclasses
+import math
 
 from plantainway.supply import _state
 
 SPARES_PER_DOMAIN = 2  # idle engines kept for repairs, while demand is met
+RESERVE = 1.1  # groups over those that would run half of their slots
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """Groups of a model: those that always stand, those asked for now."""
+
+    base: int
+    asked: int
+
+    @property
+    def most(self) -> int:
+        """Returns the larger figure."""
+        return max(self.base, self.asked)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -12,33 +27,49 @@
     """Groups of each model that stand or form, and how many are wanted."""
 
     have: dict[str, int]
-    want: dict[str, int]
+    want: dict[str, Wanted]
 
-    def need(self, model: str) -> float:
+    def met(self, model: str) -> float:
         """Returns the part of the wanted groups that a model has.
 
         Args:
             model: Name of the model.
         """
-        return self.have.get(model, 0) / max(self.want.get(model, 0), 0.01)
+        return self.have.get(model, 0) / max(self.want[model].most, 1)
+
+    def is_short(self, model: str) -> bool:
+        """Tells whether fewer groups stand than always should.
+
+        Args:
+            model: Name of the model.
+        """
+        return self.have.get(model, 0) < self.want[model].base
 
 
-def wanted_groups(profile, engines: int, domains: int) -> dict[str, int]:
-    """Returns how many groups of each model the engines suffice for.
+def wanted_groups(
+    profile, engines: int, domains: int, demand: dict[str, float]
+) -> dict[str, Wanted]:
+    """Returns how many groups of each model should stand.
+
+    The engines that are not kept as spares are dealt out by the models'
+    shares of the work. A model that is asked for more may get spares that
+    have its weights.
 
     Args:
-        profile: The engine profile with the models' shares of the work.
+        profile: The engine profile.
         engines: Engines that have been seen.
         domains: Fabric domains, each of which keeps spares.
+        demand: Groups kept busy by model, empty if not known.
 
     Returns:
-        Wanted groups by model, at least one of each.
+        Wanted groups by model.
     """
-    total = sum(model.share for model in profile.models) or 1.0
     serving = max(engines - SPARES_PER_DOMAIN * domains, 0)
+    total = sum(model.share for model in profile.models) or 1.0
     return {
-        model.name: max(
-            round(serving * model.share / total / model.members), 1
+        model.name: Wanted(
+            max(round(serving * model.share / total / model.members), 1),
+            math.ceil(demand.get(model.name, 0.0) * RESERVE),
         )
         for model in profile.models
     }
@@ -107,12 +138,22 @@
     while True:
         models = sorted(
             profile.models,
-            key=lambda model: (counts.need(model.name), -model.members),
+            key=lambda model: (counts.met(model.name), -model.members),
         )
         found = None
         for model in models:
-            if counts.need(model.name) < 1.0:
-                found = _best(rooms, model, profile, loads_free, starting)
+            if counts.met(model.name) < 1.0:
+                # Spares are loaded with other weights only where a group
+                # that always stands is missing.
+                short = counts.is_short(model.name)
+                found = _best(
+                    rooms,
+                    model,
+                    profile,
+                    counts.want[model.name].base,
+                    loads_free if short else 0,
+                    starting,
+                )
             if found is not None:
                 break
         if found is None:
@@ -128,32 +169,54 @@
 
 @dataclasses.dataclass(slots=True)
 class _Room:
-    """A domain while groups are formed: idle engines, models that stand."""
+    """A domain while groups are formed.
+
+    ``soon`` are engines that are held for some seconds yet.
+    """
 
     domain: str
     idle: list
     models: list
+    soon: list
 
     @classmethod
     def of(cls, view, now: float) -> '_Room':
         """Returns the room that a domain has."""
         models = [record.model for record in view.groups.values()]
-        return cls(view.domain, idle_engines(view, now), models)
+        soon = [
+            view.engines[name]
+            for name, until in view.held.items()
+            if until > now
+            and name in view.engines
+            and view.engines[name].is_usable
+        ]
+        return cls(view.domain, idle_engines(view, now), models, soon)
 
 
-def _best(rooms, model, profile, loads_free: int, starting: bool):
+def _best(rooms, model, profile, wanted, loads_free: int, starting: bool):
     """Returns the domain and engines that a new group costs least."""
     best = None
+    per_room = math.ceil(wanted / max(len(rooms), 1))
     for room in rooms:
         if len(room.idle) < model.members:
             continue
-        if starting and _is_kept_free(room, model, profile):
+        if starting and (
+            _is_kept_free(room, model, profile)
+            or room.models.count(model.name) >= per_room
+        ):
             continue
         ranked = sorted(room.idle, key=lambda e: _rank(e, model.name))
         chosen = ranked[: model.members]
         loads = sum(not _is_staged(engine, model.name) for engine in chosen)
         if loads > loads_free:
             continue
+        if loads and room.soon:
+            # Waiting for staged engines takes less time than a load.
+            later = sorted(
+                room.idle + room.soon, key=lambda e: _rank(e, model.name)
+            )[: model.members]
+            if all(_is_staged(engine, model.name) for engine in later):
+                continue
         key = (
             loads,
             room.models.count(model.name),
@@ -178,7 +241,7 @@
 
 
 def stage_spares(
-    views, profile, counts: Counts, loads_free: int, now: float
+    views, profile, counts: Counts, loads_free: int, now: float, starting: bool
 ) -> list:
     """Chooses what idle engines load onto their hosts.
 
@@ -191,13 +254,14 @@
         counts: Groups that stand and that are wanted.
         loads_free: Loads that may begin now.
         now: Monotonic seconds.
+        starting: Whether no traffic flows yet.
 
     Returns:
         The loads to begin.
     """
     actions = []
     names = {model.name for model in profile.models}
-    if any(counts.need(name) < 1.0 for name in names):
+    if starting and any(counts.is_short(name) for name in names):
         return actions  # groups go before spares
     for view in views:
         if loads_free <= 0:
--- a/plantainway/supply/_repair.py
+++ b/plantainway/supply/_repair.py
@@ -60,7 +60,9 @@
     state = head.membership.state
     if record.closing_since is not None:
         if state in (_GroupState.READY, _GroupState.BROKEN):
-            return _state.Disband(record.name, now, 'closed')
+            return _state.Disband(
+                record.name, now, 'closed', head_leaves=record.open_in_doubt
+            )
         if lost and now - record.closing_since > CLOSE_MAX_S:
             return _state.Close(record.name, False, 'still not closed')
         return None
@@ -94,9 +96,10 @@
         engine.membership.state is _GroupState.READY for engine in engines
     ):
         if not record.is_ours:
-            # An order of the earlier leader may still be on its way to a
-            # member; a new epoch shuts it out.
-            return _state.Disband(record.name, now, 'of an earlier leader')
+            # Its order to open the group may still be on its way.
+            return _state.Disband(
+                record.name, now, 'of an earlier leader', head_leaves=True
+            )
         return _state.Open(record.name)
     if now - record.formed_at > expected_s(record) + JOIN_SLACK_S:
         return _state.Disband(record.name, now, 'members did not join in time')
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -47,7 +47,7 @@
 
     ``formed_at`` is monotonic seconds. ``lives`` holds the ``born`` of each
     member when it joined. ``closing_since`` is set once its head was told to
-    close.
+    close. While ``open_in_doubt``, an order to open may still take effect.
     """
 
     name: str
@@ -59,6 +59,7 @@
     is_ours: bool = True
     opened: bool = False
     open_sent_at: float = 0.0
+    open_in_doubt: bool = False
     closing_since: float | None = None
     reason: str = ''
 
@@ -115,12 +116,14 @@
 class Disband:
     """Forget a group; survivors leave and are held until ``free_at``.
 
-    ``free_at`` is monotonic seconds.
+    ``free_at`` is monotonic seconds. Where ``head_leaves``, no member is
+    free before its head was seen to have left.
     """
 
     group: str
     free_at: float
     reason: str
+    head_leaves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -123,10 +123,11 @@
             return _types.Answer(503, reason='route without a service')
         self._parts.budget.note_request(service)
         if route.kind is deployment.RouteKind.STREAM:
-            if self._parts.on_asked is not None:
-                self._parts.on_asked(req.model)
+            engine = cfg.engines.get(service)
+            if self._parts.on_asked is not None and engine is not None:
+                self._parts.on_asked(service, req, engine)
             return await self._stream.serve(
-                req, route, service, account, rank, sink
+                req, route, service, account, rank, sink, engine
             )
         return await self._plain.serve(req, route, service, account)
 
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -130,9 +130,7 @@
         return await self._wait(line, ticket)
 
     async def _wait(self, line, ticket) -> Place:
-        left_s = min(
-            ticket.leaves_at - self._clock.now(), _queue.WAIT_MAX_S
-        )
+        left_s = min(ticket.leaves_at - self._clock.now(), _queue.WAIT_MAX_S)
         fut = ticket.place
         place = None
         try:
--- a/plantainway/traffic/_outcomes.py
+++ b/plantainway/traffic/_outcomes.py
@@ -29,7 +29,7 @@
         """
         logs.event(
             step,
-            'DEBUG',
+            'INFO',
             request=req.request_id,
             at_ms=self._ms(req),
             **inputs,
@@ -57,7 +57,6 @@
         self.whole.note(self._clock.now() - req.arrived_at)
         logs.event(
             'request_ended',
-            'DEBUG' if end == 'served' else 'INFO',
             request=req.request_id,
             route=route.name if route is not None else '',
             end=end,
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -104,9 +104,7 @@
             return _types.Answer(TIMEOUT_STATUS, reason='deadline passed')
         return _types.Answer(BAD_STATUS, reason='outcome unknown')
 
-    async def _attempt(
-        self, req, route, upstream, account, deadline, last
-    ):
+    async def _attempt(self, req, route, upstream, account, deadline, last):
         parts = self._parts
         unsafe = route.kind is deployment.RouteKind.UNSAFE
         sending = _types.Sending(
--- a/plantainway/traffic/_queue.py
+++ b/plantainway/traffic/_queue.py
@@ -124,6 +124,8 @@
     Returns:
         Seconds, at most the third of its time that clients honour.
     """
-    return max(min(predicted_wait_s, left_s / 3), 0.05) if (
-        math.isfinite(predicted_wait_s)
-    ) else max(left_s / 3, 0.05)
+    return (
+        max(min(predicted_wait_s, left_s / 3), 0.05)
+        if (math.isfinite(predicted_wait_s))
+        else max(left_s / 3, 0.05)
+    )
--- a/plantainway/traffic/_stalls.py
+++ b/plantainway/traffic/_stalls.py
@@ -1,19 +1,18 @@
 """When a silent stream is taken for dead and moved to another group.
 
 Answers the load of groups that lose a member: the head goes on accepting
-and nothing moves until it breaks seconds later, while a pause of more than
-the route's limit makes the answer late. Also of slow upstreams, which are
-not left for their slowness alone.
+and nothing moves until it breaks seconds later. A group that prefills long
+prompts is silent for up to a whole pass, so only a longer silence tells.
 """
 
 import dataclasses
 
-GAP_PART = 0.5  # of the route's longest pause, to leave time to resume
-FIRST_PART = 0.55  # of the route's target for the first event
+PASS_RATIO = 1.1  # of the longest pass: a pause beyond it is a stall
+FIRST_PASSES = 2.0  # a first event waits for its prompt and for one pass
 SLOW_RATIO = 3.0  # a pause this many times the usual one is a stall
+PASS_UNKNOWN_S = 0.3
 PACE_WEIGHT = 0.1
 SUSPECT_S = 0.6  # a head with a stalled stream gets no new work for so long
-LATE_S = 1.2  # patience with a stream that is late already
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,29 +85,25 @@
         """
         return self._suspects.get(name, 0.0) > self._clock.now()
 
-    def first_patience_s(self, name: str, route, spent_s: float) -> float:
+    def first_patience_s(self, name: str, pass_s: float) -> float:
         """Returns how long to wait for a stream's first event.
 
         Args:
             name: Name of the head.
-            route: Route of the request.
-            spent_s: Seconds since the request arrived.
+            pass_s: Longest pass of its engine.
         """
         usual = self._pace(name).first_s * SLOW_RATIO
-        left_s = route.target_ms / 1000 - spent_s
-        if left_s <= 0:
-            return max(usual, LATE_S)
-        return max(usual, left_s * FIRST_PART)
+        return max(usual, (pass_s or PASS_UNKNOWN_S) * FIRST_PASSES)
 
-    def gap_patience_s(self, name: str, route) -> float:
+    def gap_patience_s(self, name: str, pass_s: float) -> float:
         """Returns how long to wait for a stream's next event.
 
         Args:
             name: Name of the head.
-            route: Route of the request.
+            pass_s: Longest pass of its engine.
         """
         usual = self._pace(name).gap_s * SLOW_RATIO
-        return max(usual, route.pause_ms / 1000 * GAP_PART)
+        return max(usual, (pass_s or PASS_UNKNOWN_S) * PASS_RATIO)
 
     def sync(self, names) -> None:
         """Forgets heads that are gone.
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -17,6 +17,7 @@
 UNAVAILABLE_RETRY_S = 0.5
 PRIORITY_RESUMED = 0  # a pause in the middle of a stream counts at once
 PRIORITY_FIRST = 3
+LOOK_AGAIN_S = 0.1  # at a stalled stream that can't be moved yet
 
 
 class _End(enum.Enum):
@@ -48,6 +49,44 @@
     last_event_at: float = 0.0
     failure: _types.Answer | None = None
     reason: str = ''
+    lost_heads: list = dataclasses.field(default_factory=list)
+    pass_s: float = 0.0
+
+
+class _StallWatch:
+    """Ends an attempt whose stream is silent for too long.
+
+    Args:
+        timeout: Timeout around the attempt.
+        may_move: Function that tells whether another attempt is allowed.
+    """
+
+    def __init__(self, timeout, may_move):
+        self._loop = asyncio.get_running_loop()
+        self._timeout = timeout
+        self._may_move = may_move
+        self._handle = None
+
+    def arm(self, patience_s: float) -> None:
+        """Starts to wait.
+
+        Args:
+            patience_s: Longest silence.
+        """
+        self.disarm()
+        self._handle = self._loop.call_later(patience_s, self._on_due)
+
+    def disarm(self) -> None:
+        """Stops waiting."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def _on_due(self) -> None:
+        if self._may_move():
+            self._timeout.reschedule(self._loop.time())
+        else:
+            self._handle = self._loop.call_later(LOOK_AGAIN_S, self._on_due)
 
 
 class StreamRunner:
@@ -60,7 +99,9 @@
     def __init__(self, parts):
         self._parts = parts
 
-    async def serve(self, req, route, service, account, priority, sink):
+    async def serve(
+        self, req, route, service, account, priority, sink, engine
+    ):
         """Serves one request.
 
         Args:
@@ -70,6 +111,7 @@
             account: Name of the client account, or empty.
             priority: Rank of the request, 0 goes first.
             sink: Where the events go.
+            engine: Profile of the service's engines, ``None`` if unknown.
 
         Returns:
             An answer, or ``None`` once the sink was used.
@@ -90,6 +132,7 @@
             ),
             leaves_at=min(req.deadline, req.arrived_at + silence_s),
             after_event=req.after_event,
+            pass_s=engine.longest_pass_s(req.model) if engine else 0.0,
         )
         try:
             async with asyncio.timeout(
@@ -120,7 +163,6 @@
     async def _run(self, state, sink) -> bool:
         """Makes attempts until one completes the answer."""
         parts = self._parts
-        route = state.route
         while state.sends < SENDS_MAX:
             if state.sends and not parts.budget.take(state.service):
                 state.reason = 'retry budget spent'
@@ -154,10 +196,31 @@
             if end is _End.NOT_RUN:
                 await asyncio.sleep(FULL_PAUSE_S)
                 continue
-            if not route.is_idempotent or state.runs >= route.max_attempts:
+            if end in (_End.STALLED, _End.BROKEN):
+                state.lost_heads.append(place.head)
+            if not self._may_run_again(state):
                 return False
         return False
 
+    def _may_run_again(self, state, uncounted: int = 0) -> bool:
+        """Tells whether the route allows one more run.
+
+        Runs at groups that have broken up since do not count.
+
+        Args:
+            state: State of the answer.
+            uncounted: Runs that are not in the state yet.
+        """
+        runs = state.runs + uncounted
+        if not state.route.is_idempotent:
+            return runs == 0
+        book = self._parts.upstreams
+        lost = 0
+        for head in state.lost_heads:
+            now = book.by_name.get(head.name)
+            lost += now is None or now.membership != head.membership
+        return runs - lost < state.route.max_attempts
+
     def _retry_after_s(self, state, exc) -> float:
         left_s = state.req.deadline - self._parts.clock.now()
         if exc.reason == 'unavailable':
@@ -209,21 +272,20 @@
             ),
             after_event=state.after_event,
         )
-        can_move = (
-            state.route.is_idempotent
-            and state.runs + 1 < state.route.max_attempts
-        )
+        watch = None
         try:
             async with asyncio.timeout(None) as stall:
-                if can_move:
-                    self._wait_first(stall, state, head)
+                watch = _StallWatch(
+                    stall, lambda: self._may_move(state, reply is not None)
+                )
+                watch.arm(self._first_patience_s(state, head))
                 reply = await parts.client.send(sending)
                 if reply.status != 200:
-                    stall.reschedule(None)
+                    watch.disarm()
                     return await self._failed(state, head, reply)
                 state.runs += 1
                 return await self._forward(
-                    state, head, reply, sink, stall, sent_at, can_move
+                    state, head, reply, sink, watch, sent_at
                 )
         except TimeoutError:
             if not stall.expired():
@@ -241,20 +303,21 @@
             parts.note_failed(head, exc.message, certain=not exc.sent)
             return _End.BROKEN if exc.sent else _End.NOT_RUN
         finally:
+            if watch is not None:
+                watch.disarm()
             parts.heads.release(place)
             if reply is not None:
                 reply.close()
 
-    def _wait_first(self, stall, state, head) -> None:
-        parts = self._parts
-        now = parts.clock.now()
+    def _may_move(self, state, is_counted: bool) -> bool:
+        """Tells whether a stalled attempt may be given up for another."""
+        return self._may_run_again(state, 0 if is_counted else 1)
+
+    def _first_patience_s(self, state, head) -> float:
+        stalls = self._parts.stalls
         if state.started:
-            patience = parts.stalls.gap_patience_s(head.name, state.route) * 2
-        else:
-            patience = parts.stalls.first_patience_s(
-                head.name, state.route, now - state.req.arrived_at
-            )
-        stall.reschedule(asyncio.get_running_loop().time() + patience)
+            return 2 * stalls.gap_patience_s(head.name, state.pass_s)
+        return stalls.first_patience_s(head.name, state.pass_s)
 
     async def _failed(self, state, head, reply) -> _End:
         """Takes in an answer that is no stream."""
@@ -272,12 +335,9 @@
         parts.note_failed(head, state.reason)
         return _End.FAILED
 
-    async def _forward(
-        self, state, head, reply, sink, stall, sent_at, can_move
-    ) -> _End:
+    async def _forward(self, state, head, reply, sink, watch, sent_at) -> _End:
         """Passes events on until the stream ends."""
         parts = self._parts
-        loop = asyncio.get_running_loop()
         splitter = _events.EventSplitter()
         moved_at = sent_at
         first = True
@@ -293,12 +353,10 @@
                 parts.stalls.note_gap(head.name, now - moved_at)
             moved_at = now
             # A client that reads slowly is no stall of the upstream.
-            stall.reschedule(None)
+            watch.disarm()
             await self._pass_on(state, reply, events, sink)
-            if can_move:
-                patience = parts.stalls.gap_patience_s(head.name, state.route)
-                stall.reschedule(loop.time() + patience)
-        stall.reschedule(None)
+            watch.arm(parts.stalls.gap_patience_s(head.name, state.pass_s))
+        watch.disarm()
         if not state.started:
             await sink.start(reply.status, reply.headers)
             state.started = True
