--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -240,14 +240,16 @@
             deployment.GroupState.OPEN,
             deployment.GroupState.CLOSING,
         )
-        model = self.profile.model(head.membership.model)
+        model = self.profile.model(
+            head.membership.model
+        ) or self._model_by_size(len(ranks))
         size = model.members if model is not None else len(members)
         if not opened and not all(rank in ranks for rank in range(size)):
             return
         self._groups[name] = _state.GroupRecord(
             name,
             epoch,
-            head.membership.model,
+            model.name if model is not None else '',
             tuple(ranks.get(rank, '') for rank in range(size)),
             now,
             {f.name: f.upstream.born for f in members},
@@ -258,6 +260,14 @@
             ),
         )
 
+    def _model_by_size(self, members: int):
+        """Returns the only model whose groups have so many members.
+
+        An engine that joins does not name the model that it loads.
+        """
+        found = [m for m in self.profile.models if m.members == members]
+        return found[0] if len(found) == 1 else None
+
     def _adopt_strays(self, facts, now: float) -> None:
         """Takes in open heads of groups that were given up."""
         by_group: dict[tuple[str, int], list] = {}
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -37,13 +37,21 @@
         """
         return self.have.get(model, 0) / max(self.want[model].most, 1)
 
+    def missing(self, model: str) -> int:
+        """Returns how many of the groups that always stand are missing.
+
+        Args:
+            model: Name of the model.
+        """
+        return self.want[model].base - self.have.get(model, 0)
+
     def is_short(self, model: str) -> bool:
         """Tells whether fewer groups stand than always should.
 
         Args:
             model: Name of the model.
         """
-        return self.have.get(model, 0) < self.want[model].base
+        return self.missing(model) > 0
 
 
 def wanted_groups(
@@ -151,6 +159,7 @@
                     model,
                     profile,
                     counts.want[model.name].base,
+                    counts.missing(model.name),
                     loads_free if short else 0,
                     starting,
                 )
@@ -193,10 +202,14 @@
         return cls(view.domain, idle_engines(view, now), models, soon)
 
 
-def _best(rooms, model, profile, wanted, loads_free: int, starting: bool):
+def _best(
+    rooms, model, profile, wanted, missing: int, loads_free: int, starting
+):
     """Returns the domain and engines that a new group costs least."""
     best = None
     per_room = math.ceil(wanted / max(len(rooms), 1))
+    # Waiting for engines that are held takes less time than a load.
+    promised = sum(_can_soon_form(room, model) for room in rooms)
     for room in rooms:
         if len(room.idle) < model.members:
             continue
@@ -210,13 +223,8 @@
         loads = sum(not _is_staged(engine, model.name) for engine in chosen)
         if loads > loads_free:
             continue
-        if loads and room.soon:
-            # Waiting for staged engines takes less time than a load.
-            later = sorted(
-                room.idle + room.soon, key=lambda e: _rank(e, model.name)
-            )[: model.members]
-            if all(_is_staged(engine, model.name) for engine in later):
-                continue
+        if loads and promised >= missing:
+            continue
         key = (
             loads,
             room.models.count(model.name),
@@ -228,6 +236,18 @@
     return best[1] if best is not None else None
 
 
+def _can_soon_form(room, model) -> bool:
+    """Tells whether held engines will make a group without a load."""
+    if not room.soon:
+        return False
+    staged = [
+        engine
+        for engine in room.idle + room.soon
+        if _is_staged(engine, model.name)
+    ]
+    return len(staged) >= model.members
+
+
 def _is_kept_free(room, model, profile) -> bool:
     """Tells whether a domain's engines wait for a larger model at the start.
 
