--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -46,6 +46,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._leaving = False
         self._renew_at = 0.0
+        self._fewer_nodes_at = 0.0
         self._suspects: dict[str, float] = {}
         self._work: dict[str, float] = {}
         self._controllers: dict[str, supply.GroupController] = {}
@@ -225,7 +226,6 @@
                     self._client,
                     self._leadership,
                     self._clock,
-                    self.cfg.bounds.head_stall_s,
                     self._spawn,
                     lambda: self._upstream_rows.current_as_of,
                 )
@@ -323,11 +323,23 @@
 
     def _take_digest(self, digest) -> None:
         self._leadership.note_renewal(digest.lease_version)
-        self._parts.budget.nodes = max(len(digest.nodes), 1)
+        self._set_nodes(len(digest.nodes))
         self._take_loads(digest.loads, self._link.sent_loads)
         for name in digest.suspects:
             self._parts.stalls.suspect(name)
 
+    def _set_nodes(self, count: int) -> None:
+        """Deals the retry budget out among the nodes.
+
+        Nodes that are missed now have spent their part of the window, so
+        the number falls only slowly.
+        """
+        budget = self._parts.budget
+        now = self._clock.now()
+        if count >= budget.nodes or now >= self._fewer_nodes_at:
+            budget.nodes = max(count, 1)
+            self._fewer_nodes_at = now + self.cfg.bounds.retry_window_s
+
     def _take_loads(self, totals, own) -> None:
         """Takes in what other nodes have in progress."""
         self._parts.loads.set_others(
@@ -365,7 +377,7 @@
             self._renew_at = self._clock.now() + ELECTION_TICK_S
         if not self._leadership.leads():
             logs.event('leadership_lost', term=self._leadership.term)
-        self._parts.budget.nodes = len(self._hub.nodes())
+        self._set_nodes(len(self._hub.nodes()))
 
     async def _follow_or_take(self, patience_s: float):
         leadership = self._leadership
--- a/plantainway/edge/_settings.py
+++ b/plantainway/edge/_settings.py
@@ -22,15 +22,13 @@
 class EdgeBounds(pydantic.BaseModel):
     """Figures agreed with the platform, in seconds unless named otherwise.
 
-    ``stop_s`` is the time between SIGTERM and SIGKILL, ``head_stall_s`` the
-    time after which a head that lost a member breaks. Over all nodes, a
+    ``stop_s`` is the time between SIGTERM and SIGKILL. Over all nodes, a
     service may get ``retry_ratio`` repeats for each request and
     ``retry_slack`` more in a window of ``retry_window_s``. Clients keep an
     answer of the directory for ``directory_ttl_s`` or three times as long.
     """
 
     stop_s: float = 8.0
-    head_stall_s: float = 5.0
     retry_ratio: float = 0.2
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -36,7 +36,6 @@
         client: Client of the engines.
         leadership: The lease; every order needs it.
         clock: Source of monotonic time.
-        stall_s: Seconds after which a head without a member breaks.
         spawn: Function that runs a coroutine as a task.
         current_as_of: Function that returns the monotonic time at which the
             upstream book was last known to be current.
@@ -49,7 +48,6 @@
         client,
         leadership,
         clock,
-        stall_s,
         spawn,
         current_as_of,
     ):
@@ -58,13 +56,12 @@
         self._client = client
         self._leadership = leadership
         self._clock = clock
-        self._stall_s = stall_s
         self._spawn = spawn
         self._current_as_of = current_as_of
         self._leads_since: float | None = None
         self.profile: deployment.EngineProfile | None = None
         self._groups: dict[str, _state.GroupRecord] = {}
-        self._held: dict[str, float] = {}
+        self._left: set[tuple[str, str, int]] = set()
         self._staging: dict[str, float] = {}
         self._releasing: dict[str, _Release] = {}
         self._contact: dict[str, _Contact] = {}
@@ -151,8 +148,10 @@
                 if upstream is None:
                     return
                 asked_at = self._clock.now()
+                contact.meet(upstream.born)
                 try:
-                    await self._client.report(upstream)
+                    report = await self._client.report(upstream)
+                    _check_life(upstream, report)
                 except (errors.UpstreamError, errors.WireError) as exc:
                     contact.failed(asked_at, exc)
                     if not contact.is_gone and not contact.is_silent:
@@ -182,9 +181,9 @@
     def _adopt(self, facts) -> None:
         """Takes over the groups that serve when this term begins."""
         self._groups.clear()
-        self._held.clear()
         self._staging.clear()
         self._releasing.clear()
+        self._left.clear()
         by_group: dict[tuple[str, int], list] = {}
         for fact in facts.values():
             member = fact.membership
@@ -203,37 +202,58 @@
             engines=len(facts),
         )
 
+    def _release(self, fact, now: float) -> None:
+        """Lets an engine leave its group before it may join another."""
+        member = fact.membership
+        self._releasing[fact.name] = _Release(member.group, member.epoch)
+        self._send_leave(fact.name, now)
+
+    def _send_leave(self, name: str, now: float) -> None:
+        release = self._releasing[name]
+        release.next_at = now + LEAVE_AGAIN_S
+        self._send(
+            _orders.Order(
+                KNOWN_KINDS.LEAVE, name, release.group, release.epoch
+            )
+        )
+
     def _follow_releases(self, facts, now: float) -> None:
-        """Frees the members of groups whose head was seen to have left."""
+        """Sends orders to leave again until they have taken effect.
+
+        Members of groups that nobody looks after leave as well.
+        """
         for name, release in list(self._releasing.items()):
-            head = facts.get(release.head)
-            member = head.membership if head is not None else None
+            fact = facts.get(name)
             if (
-                head is None
-                or head.contact is not _state.Contact.ANSWERS
-                or member is None
-                or (member.group, member.epoch) != (name, release.epoch)
+                fact is None
+                or fact.contact is not _state.Contact.ANSWERS
+                or fact.member_key != (name, release.group, release.epoch)
             ):
                 del self._releasing[name]
-                continue
-            if now >= release.next_at:
-                release.next_at = now + LEAVE_AGAIN_S
-                self._send(
-                    _orders.Order(
-                        KNOWN_KINDS.LEAVE, release.head, name, release.epoch
-                    )
-                )
+            elif now >= release.next_at:
+                self._send_leave(name, now)
+        known = {
+            (name, record.name, record.epoch)
+            for record in self._groups.values()
+            for name in record.members
+        }
+        for name, fact in facts.items():
+            key = fact.member_key
+            if (
+                key is not None
+                and key not in known
+                and key not in self._left
+                and name not in self._releasing
+                and fact.is_usable
+            ):
+                logs.event('stray_member', upstream=name, group=key[1])
+                self._release(fact, now)
 
     def _adopt_group(self, name, epoch, members, now: float) -> None:
         """Takes over one group of an earlier leader, as far as it stands."""
-        states = {f.membership.state for f in members}
         ranks = {f.membership.rank: f.name for f in members}
         head = next((f for f in members if f.membership.rank == 0), None)
         if head is None:
-            if deployment.GroupState.BROKEN not in states:
-                # Its head may still serve somewhere out of sight.
-                for fact in members:
-                    self._held[fact.name] = now + self._stall_s
             return
         state = head.membership.state
         opened = state in (
@@ -268,26 +288,6 @@
         found = [m for m in self.profile.models if m.members == members]
         return found[0] if len(found) == 1 else None
 
-    def _adopt_strays(self, facts, now: float) -> None:
-        """Takes in open heads of groups that were given up."""
-        by_group: dict[tuple[str, int], list] = {}
-        for fact in facts.values():
-            member = fact.membership
-            if (
-                member is None
-                or member.group in self._groups
-                or member.group in self._releasing
-            ):
-                continue
-            by_group.setdefault((member.group, member.epoch), []).append(fact)
-        for (name, epoch), members in by_group.items():
-            if any(
-                f.upstream.is_open_head and f.contact is _state.Contact.ANSWERS
-                for f in members
-            ):
-                logs.event('stray_group', group=name, epoch=epoch)
-                self._adopt_group(name, epoch, members, now)
-
     def tick(self) -> None:
         """Plans once and starts the orders."""
         if self.profile is None or not self._leadership.leads():
@@ -304,13 +304,10 @@
             self._adopt(self._facts())
         facts = self._facts()
         self._follow_releases(facts, now)
-        self._adopt_strays(facts, now)
         self._probe_members(now)
         views = self._views(facts)
         for view in views:
-            for action in _repair.repair(
-                view, self._stall_s, now, self._expected_s
-            ):
+            for action in _repair.repair(view, now, self._expected_s):
                 self._apply(action, facts, now)
         views = self._views(facts)
         counts = self._counts(facts, views)
@@ -320,7 +317,6 @@
             self.profile,
             counts,
             loads_free,
-            now,
             not self.traffic_seen,
         ):
             self._apply(action, facts, now)
@@ -331,7 +327,6 @@
             self.profile,
             counts,
             loads_free,
-            now,
             not self.traffic_seen,
         ):
             self._apply(action, facts, now)
@@ -376,16 +371,11 @@
                     '',
                 )
             groups.setdefault(domain, {})[record.name] = record
-        busy = frozenset(self._staging.keys()).union(
-            *(release.members for release in self._releasing.values())
-        )
+        busy = frozenset(self._staging.keys() | self._releasing.keys())
+        left = frozenset(self._left)
         return [
             _state.DomainView(
-                domain,
-                domains.get(domain, {}),
-                groups[domain],
-                self._held,
-                busy,
+                domain, domains.get(domain, {}), groups[domain], busy, left
             )
             for domain in sorted(groups)
         ]
@@ -510,30 +500,12 @@
     def _disband(self, action, facts, now: float) -> None:
         record = self._groups.pop(action.group)
         self._log(action, record)
-        if action.head_leaves:
-            self._releasing[record.name] = _Release(
-                record.members[0], record.epoch, frozenset(record.members)
-            )
-        if action.free_at <= now:
-            return
         for name in record.members:
             fact = facts.get(name)
-            if fact is None:
+            if fact is None or fact.contact is not _state.Contact.ANSWERS:
                 continue
-            self._held[name] = max(
-                action.free_at, self._held.get(name, action.free_at)
-            )
-            member = fact.membership
-            if (
-                fact.contact is _state.Contact.ANSWERS
-                and member is not None
-                and member.group == record.name
-            ):
-                self._send(
-                    _orders.Order(
-                        KNOWN_KINDS.LEAVE, name, record.name, record.epoch
-                    )
-                )
+            if fact.member_key == (name, record.name, record.epoch):
+                self._release(fact, now)
 
     def _send(self, order) -> None:
         self._spawn(self._order(order))
@@ -557,10 +529,12 @@
             detail=outcome.detail,
         )
         if outcome.verdict is _orders.Verdict.UNKNOWN:
-            record = self._groups.get(order.group)
-            if order.kind is KNOWN_KINDS.OPEN and record is not None:
-                record.open_in_doubt = True
             self._probe_soon(order.upstream)
+        elif order.kind is KNOWN_KINDS.LEAVE and outcome.has_effect:
+            self._left.add((order.upstream, order.group, order.epoch))
+            release = self._releasing.get(order.upstream)
+            if release is not None and release.epoch == order.epoch:
+                del self._releasing[order.upstream]
 
     async def _stage(self, action) -> None:
         try:
@@ -611,18 +585,28 @@
                 }
                 for name, record in self._groups.items()
             },
-            'held': self._held,
+            'releasing': sorted(self._releasing),
             'staging': sorted(self._staging),
         }
 
 
+def _check_life(upstream, report) -> None:
+    """Raises an error if another life answers at an engine's address."""
+    if upstream.born and report.born and upstream.born != report.born:
+        raise errors.UpstreamError(
+            'another life has the address',
+            'report',
+            upstream.name,
+            refused=True,
+        )
+
+
 class _Release:
-    """A group whose head must be seen to have left; times are monotonic."""
+    """A group that an engine is to leave; ``next_at`` is monotonic."""
 
-    def __init__(self, head: str, epoch: int, members: frozenset):
-        self.head = head
+    def __init__(self, group: str, epoch: int):
+        self.group = group
         self.epoch = epoch
-        self.members = members
         self.next_at = 0.0
 
 
@@ -636,6 +620,17 @@
         self.is_gone = False
         self.is_lost = False
         self._failures = 0
+        self._life = 0
+
+    def meet(self, life: int) -> None:
+        """Forgets what was seen of another life.
+
+        Args:
+            life: When the engine was born.
+        """
+        if life != self._life:
+            self._life = life
+            self.answered()
 
     @property
     def is_silent(self) -> bool:
@@ -658,6 +653,7 @@
 
     def facts(self, upstream) -> _state.EngineFacts:
         """Returns the engine with what the probes say of it."""
+        self.meet(upstream.born)
         if self.is_gone:
             return _state.EngineFacts(
                 upstream, _state.Contact.GONE, self.silent_since
--- a/plantainway/supply/_orders.py
+++ b/plantainway/supply/_orders.py
@@ -50,6 +50,11 @@
     verdict: Verdict
     detail: str = ''
 
+    @property
+    def has_effect(self) -> bool:
+        """Tells whether the order has begun or what it asks for holds."""
+        return self.verdict in (Verdict.BEGUN, Verdict.HOLDS)
+
 
 class BaseEngineClient(abc.ABC):
     """Gives orders to engines and reads their reports."""
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -1,11 +1,13 @@
 """Which groups to form of idle engines, and what to stage on spares."""
 
+import collections
 import dataclasses
 import math
 
 from plantainway.supply import _state
 
 SPARES_PER_DOMAIN = 2  # idle engines kept for repairs, while demand is met
+EXPOSED_MIN = 0.1  # a model without groups still gets a spare in the end
 RESERVE = 1.1  # groups over those that would run half of their slots
 
 
@@ -83,12 +85,11 @@
     }
 
 
-def idle_engines(view: _state.DomainView, now: float) -> list:
+def idle_engines(view: _state.DomainView) -> list:
     """Returns the engines of a domain that may join a group.
 
     Args:
         view: The domain.
-        now: Monotonic seconds.
     """
     taken = {
         name for record in view.groups.values() for name in record.members
@@ -99,7 +100,7 @@
         if engine.is_usable
         and name not in taken
         and name not in view.busy
-        and view.held.get(name, 0.0) <= now
+        and (engine.membership is None or engine.member_key in view.left)
     ]
 
 
@@ -122,7 +123,7 @@
 
 
 def form_groups(
-    views, profile, counts: Counts, loads_free: int, now: float, starting: bool
+    views, profile, counts: Counts, loads_free: int, starting: bool
 ) -> list:
     """Chooses groups to form, the neediest model first.
 
@@ -135,14 +136,13 @@
         profile: The engine profile.
         counts: Groups that stand and that are wanted; brought up to date.
         loads_free: Loads that may begin now.
-        now: Monotonic seconds.
         starting: Whether no traffic flows yet.
 
     Returns:
         The groups to form.
     """
     actions = []
-    rooms = [_Room.of(view, now) for view in views]
+    rooms = [_Room.of(view) for view in views]
     while True:
         models = sorted(
             profile.models,
@@ -159,7 +159,6 @@
                     model,
                     profile,
                     counts.want[model.name].base,
-                    counts.missing(model.name),
                     loads_free if short else 0,
                     starting,
                 )
@@ -178,38 +177,23 @@
 
 @dataclasses.dataclass(slots=True)
 class _Room:
-    """A domain while groups are formed.
-
-    ``soon`` are engines that are held for some seconds yet.
-    """
+    """A domain while groups are formed: idle engines, models that stand."""
 
     domain: str
     idle: list
     models: list
-    soon: list
 
     @classmethod
-    def of(cls, view, now: float) -> '_Room':
+    def of(cls, view) -> '_Room':
         """Returns the room that a domain has."""
         models = [record.model for record in view.groups.values()]
-        soon = [
-            view.engines[name]
-            for name, until in view.held.items()
-            if until > now
-            and name in view.engines
-            and view.engines[name].is_usable
-        ]
-        return cls(view.domain, idle_engines(view, now), models, soon)
-
-
-def _best(
-    rooms, model, profile, wanted, missing: int, loads_free: int, starting
-):
+        return cls(view.domain, idle_engines(view), models)
+
+
+def _best(rooms, model, profile, wanted, loads_free: int, starting: bool):
     """Returns the domain and engines that a new group costs least."""
     best = None
     per_room = math.ceil(wanted / max(len(rooms), 1))
-    # Waiting for engines that are held takes less time than a load.
-    promised = sum(_can_soon_form(room, model) for room in rooms)
     for room in rooms:
         if len(room.idle) < model.members:
             continue
@@ -223,8 +207,6 @@
         loads = sum(not _is_staged(engine, model.name) for engine in chosen)
         if loads > loads_free:
             continue
-        if loads and promised >= missing:
-            continue
         key = (
             loads,
             room.models.count(model.name),
@@ -236,18 +218,6 @@
     return best[1] if best is not None else None
 
 
-def _can_soon_form(room, model) -> bool:
-    """Tells whether held engines will make a group without a load."""
-    if not room.soon:
-        return False
-    staged = [
-        engine
-        for engine in room.idle + room.soon
-        if _is_staged(engine, model.name)
-    ]
-    return len(staged) >= model.members
-
-
 def _is_kept_free(room, model, profile) -> bool:
     """Tells whether a domain's engines wait for a larger model at the start.
 
@@ -261,7 +231,7 @@
 
 
 def stage_spares(
-    views, profile, counts: Counts, loads_free: int, now: float, starting: bool
+    views, profile, counts: Counts, loads_free: int, starting: bool
 ) -> list:
     """Chooses what idle engines load onto their hosts.
 
@@ -273,37 +243,48 @@
         profile: The engine profile.
         counts: Groups that stand and that are wanted.
         loads_free: Loads that may begin now.
-        now: Monotonic seconds.
         starting: Whether no traffic flows yet.
 
     Returns:
         The loads to begin.
     """
     actions = []
-    names = {model.name for model in profile.models}
+    names = sorted(model.name for model in profile.models)
     if starting and any(counts.is_short(name) for name in names):
         return actions  # groups go before spares
     for view in views:
-        if loads_free <= 0:
-            break
-        idle = idle_engines(view, now)
-        staged = [
-            next((m for m in e.upstream.staged if m in names), None)
-            for e in idle
-        ]
-        have = {name: staged.count(name) for name in names}
-        exposed = {name: 0 for name in names}
-        for record in view.groups.values():
-            if record.model in exposed:
-                exposed[record.model] += len(record.members)
-        for engine, model in zip(idle, staged, strict=True):
-            if model is not None or loads_free <= 0:
-                continue
-            wanted = max(
-                sorted(names),
-                key=lambda name: (exposed[name] + 0.1) / (have[name] + 1),
+        idle = idle_engines(view)
+        missing = _spare_mix(view, names, len(idle))
+        misfits = []
+        for engine in idle:
+            kept = next(
+                (m for m in engine.upstream.staged if missing.get(m, 0)), None
             )
-            have[wanted] += 1
+            if kept is None:
+                misfits.append(engine)
+            else:
+                missing[kept] -= 1
+        for engine in misfits:
+            wanted = max(names, key=lambda name: missing[name])
+            if loads_free <= 0 or not missing[wanted]:
+                break
+            missing[wanted] -= 1
             loads_free -= 1
             actions.append(_state.Stage(engine.name, wanted))
     return actions
+
+
+def _spare_mix(view, names, spares: int) -> collections.Counter:
+    """Returns how many spares of a domain should hold each model.
+
+    Spares go by the engines whose loss they would make good.
+    """
+    exposed = dict.fromkeys(names, EXPOSED_MIN)
+    for record in view.groups.values():
+        if record.model in exposed:
+            exposed[record.model] += len(record.members)
+    mix = collections.Counter()
+    for _spare in range(spares):
+        best = max(names, key=lambda name: exposed[name] / (mix[name] + 1))
+        mix[best] += 1
+    return mix
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -35,6 +35,14 @@
         """Returns its membership."""
         return self.upstream.membership
 
+    @property
+    def member_key(self) -> tuple[str, str, int] | None:
+        """Returns what identifies its membership, ``None`` without one."""
+        member = self.upstream.membership
+        if member is None:
+            return None
+        return (self.upstream.name, member.group, member.epoch)
+
     @property
     def is_usable(self) -> bool:
         """Tells whether it may be ordered into a group."""
@@ -47,7 +55,7 @@
 
     ``formed_at`` is monotonic seconds. ``lives`` holds the ``born`` of each
     member when it joined. ``closing_since`` is set once its head was told to
-    close. While ``open_in_doubt``, an order to open may still take effect.
+    close.
     """
 
     name: str
@@ -59,32 +67,23 @@
     is_ours: bool = True
     opened: bool = False
     open_sent_at: float = 0.0
-    open_in_doubt: bool = False
     closing_since: float | None = None
     reason: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
-    """Streams a second for each model, and their mean token counts."""
-
-    per_s: dict[str, float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DomainView:
     """One fabric domain as the planner sees it.
 
-    ``held`` gives engines that may not join before a monotonic time, since
-    the head of their last group may still stand. ``busy`` names engines
-    with an order under way.
+    ``busy`` names engines that load weights or leave a group, ``left`` the
+    memberships that have ended though entries still show them.
     """
 
     domain: str
     engines: dict[str, EngineFacts]
     groups: dict[str, GroupRecord]
-    held: dict[str, float]
     busy: frozenset
+    left: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,16 +113,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disband:
-    """Forget a group; survivors leave and are held until ``free_at``.
-
-    ``free_at`` is monotonic seconds. Where ``head_leaves``, no member is
-    free before its head was seen to have left.
-    """
+    """Forget a group; all members that answer leave it."""
 
     group: str
-    free_at: float
     reason: str
-    head_leaves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/traffic/_budget.py
+++ b/plantainway/traffic/_budget.py
@@ -8,6 +8,7 @@
 
 SAFETY = 0.8  # part of the allowance in use; windows slide at every node
 BUCKET_S = 0.5
+NODES_UNKNOWN = 40  # until the leader has told; many keep the sum small
 
 
 class RetryBudget:
@@ -27,7 +28,8 @@
         self._window_s = window_s
         self._requests: dict[str, _Window] = {}
         self._repeats: dict[str, _Window] = {}
-        self.nodes = 1
+        self._born_at = clock.now()
+        self.nodes = NODES_UNKNOWN
 
     def note_request(self, service: str) -> None:
         """Counts a client's request.
@@ -49,9 +51,11 @@
         now = self._clock.now()
         repeats = self._window(self._repeats, service)
         requests = self._window(self._requests, service)
+        # An earlier life of this process may have spent its part already.
+        age = min((now - self._born_at) / self._window_s, 1.0)
         allowed = SAFETY * (
             self._ratio * requests.count(now)
-            + self._slack / max(self.nodes, 1)
+            + self._slack * age / max(self.nodes, 1)
         )
         if repeats.count(now) + 1 > allowed:
             return False
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -8,7 +8,8 @@
 from plantainway.traffic import _queue
 
 EXTRA_PLACES = 3  # requests that a group may have queued beside its slots
-FIRST_OPEN_S = 1.0  # a group is likely to open again within so long
+FULL_S = 0.15  # a head that has no room is left alone for so long
+EVEN_WITHIN = 2  # loads that differ by so little count as even
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,6 +44,8 @@
         self._loads = loads
         self._clock = clock
         self._rng = rng
+        self._turn = rng.randrange(1 << 16)
+        self._full_until: dict[str, float] = {}
         self._lines: dict[tuple[str, str], _queue.WaitingLine] = {}
 
     def candidates(self, service: str, model: str, excluded=()) -> list:
@@ -72,11 +75,31 @@
             item
             for item in heads
             if self._loads.total(item.name) < self._limit(item)
+            and not self._is_full(item.name)
         ]
         if not free:
             return None
-        drawn = self._rng.sample(free, min(2, len(free)))
-        return min(drawn, key=lambda item: self._loads.total(item.name))
+        lightest = min(self._loads.total(item.name) for item in free)
+        even = [
+            item
+            for item in free
+            if self._loads.total(item.name) <= lightest + EVEN_WITHIN
+        ]
+        self._turn += 1
+        even.sort(key=lambda item: item.name)
+        return even[self._turn % len(even)]
+
+    def _is_full(self, name: str) -> bool:
+        return self._full_until.get(name, 0.0) > self._clock.now()
+
+    def note_full(self, place: Place) -> None:
+        """Notes that a head had no room, and looks again a little later.
+
+        Args:
+            place: The place that there was not.
+        """
+        self._full_until[place.head.name] = self._clock.now() + FULL_S
+        asyncio.get_running_loop().call_later(FULL_S, self.pump)
 
     def _line(self, service: str, model: str) -> _queue.WaitingLine:
         key = (service, model)
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -9,11 +9,10 @@
 from plantainway.traffic import _queue
 from plantainway.traffic import _types
 
-SENDS_MAX = 6  # sendings of a request, those that it was not run at included
+SENDS_MAX = 4  # sendings of a request, those that it was not run at included
 SILENCE_MIN_S = 2.0  # clients give a stream up after this or longer
 SILENCE_TARGETS = 4.0
 SILENCE_PAUSES = 8.0
-FULL_PAUSE_S = 0.02  # before another try after a group refused
 UNAVAILABLE_RETRY_S = 0.5
 PRIORITY_RESUMED = 0  # a pause in the middle of a stream counts at once
 PRIORITY_FIRST = 3
@@ -194,7 +193,6 @@
             )
             state.excluded.add(place.head.name)
             if end is _End.NOT_RUN:
-                await asyncio.sleep(FULL_PAUSE_S)
                 continue
             if end in (_End.STALLED, _End.BROKEN):
                 state.lost_heads.append(place.head)
@@ -282,7 +280,7 @@
                 reply = await parts.client.send(sending)
                 if reply.status != 200:
                     watch.disarm()
-                    return await self._failed(state, head, reply)
+                    return await self._failed(state, place, reply)
                 state.runs += 1
                 return await self._forward(
                     state, head, reply, sink, watch, sent_at
@@ -319,9 +317,9 @@
             return 2 * stalls.gap_patience_s(head.name, state.pass_s)
         return stalls.first_patience_s(head.name, state.pass_s)
 
-    async def _failed(self, state, head, reply) -> _End:
+    async def _failed(self, state, place, reply) -> _End:
         """Takes in an answer that is no stream."""
-        parts = self._parts
+        parts, head = self._parts, place.head
         body = await reply.read()
         state.reason = f'status {reply.status}'
         if reply.not_run:
@@ -329,6 +327,8 @@
                 parts.note_failed(head, 'misdirected', certain=True)
             elif reply.at_fault:
                 parts.note_failed(head, f'lost {reply.at_fault}', certain=True)
+            else:
+                parts.heads.note_full(place)
             return _End.NOT_RUN
         state.runs += 1
         state.failure = _types.Answer(reply.status, reply.headers, body)
