--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -23,6 +23,7 @@
 JOIN_S = 0.2
 SETTLE_S = 0.5  # an open head shows in its entry within so long
 LEAVE_AGAIN_S = 1.0
+REGISTERING_S = 1.0  # engines of one start register closer together
 START_LOAD_S = 12.0  # longest load before the first request
 KNOWN_KINDS = _orders.OrderKind
 
@@ -69,6 +70,7 @@
         self._epochs = 0
         self._term = 0
         self._seen: dict[str, str] = {}
+        self._joined_at = clock.now()
         self._load_starts: list[float] = []
         self._demand = _demand.DemandMeter(clock)
         self.traffic_seen = False
@@ -82,6 +84,8 @@
         }
         for name, item in current.items():
             self._ghosts.pop(name, None)
+            if name not in self._seen:
+                self._joined_at = now
             self._seen[name] = item.domain
         for name in [
             name
@@ -320,6 +324,8 @@
             not self.traffic_seen,
         ):
             self._apply(action, facts, now)
+        if not self.traffic_seen and now < self._joined_at + REGISTERING_S:
+            return  # the domains are not complete yet
         views = self._views(facts)
         loads_free = self._loads_free(facts, now)
         for action in _plan.stage_spares(
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -7,7 +7,7 @@
 from plantainway.supply import _state
 
 SPARES_PER_DOMAIN = 2  # idle engines kept for repairs, while demand is met
-EXPOSED_MIN = 0.1  # a model without groups still gets a spare in the end
+EXPOSED_MIN = 0.1  # lets the smaller model have the spare in a draw
 RESERVE = 1.1  # groups over those that would run half of their slots
 
 
@@ -182,17 +182,22 @@
     domain: str
     idle: list
     models: list
+    leaving: bool
 
     @classmethod
     def of(cls, view) -> '_Room':
         """Returns the room that a domain has."""
         models = [record.model for record in view.groups.values()]
-        return cls(view.domain, idle_engines(view), models)
+        return cls(
+            view.domain, idle_engines(view), models, bool(_leaving(view))
+        )
 
 
 def _best(rooms, model, profile, wanted, loads_free: int, starting: bool):
     """Returns the domain and engines that a new group costs least."""
     best = None
+    # Engines that are about to be free may make a group without a load.
+    leaving = any(room.leaving for room in rooms)
     per_room = math.ceil(wanted / max(len(rooms), 1))
     for room in rooms:
         if len(room.idle) < model.members:
@@ -205,7 +210,7 @@
         ranked = sorted(room.idle, key=lambda e: _rank(e, model.name))
         chosen = ranked[: model.members]
         loads = sum(not _is_staged(engine, model.name) for engine in chosen)
-        if loads > loads_free:
+        if loads > loads_free or (loads and leaving):
             continue
         key = (
             loads,
@@ -252,18 +257,27 @@
     names = sorted(model.name for model in profile.models)
     if starting and any(counts.is_short(name) for name in names):
         return actions  # groups go before spares
+    weights = {
+        model.name: counts.want[model.name].base * model.members
+        for model in profile.models
+    }
     for view in views:
+        if _leaving(view):
+            continue  # they may make a group with the idle ones
         idle = idle_engines(view)
-        missing = _spare_mix(view, names, len(idle))
+        missing = _spare_mix(weights, len(idle))
         misfits = []
         for engine in idle:
             kept = next(
                 (m for m in engine.upstream.staged if missing.get(m, 0)), None
             )
-            if kept is None:
-                misfits.append(engine)
-            else:
+            if kept is not None:
                 missing[kept] -= 1
+            elif starting or not any(
+                _is_staged(engine, name) for name in names
+            ):
+                # Later a load takes so long that any weights are better.
+                misfits.append(engine)
         for engine in misfits:
             wanted = max(names, key=lambda name: missing[name])
             if loads_free <= 0 or not missing[wanted]:
@@ -274,17 +288,25 @@
     return actions
 
 
-def _spare_mix(view, names, spares: int) -> collections.Counter:
+def _leaving(view) -> list:
+    """Returns the engines of a domain that are leaving a group."""
+    return [
+        engine
+        for name, engine in view.engines.items()
+        if name in view.busy and engine.membership is not None
+    ]
+
+
+def _spare_mix(weights, spares: int) -> collections.Counter:
     """Returns how many spares of a domain should hold each model.
 
     Spares go by the engines whose loss they would make good.
     """
-    exposed = dict.fromkeys(names, EXPOSED_MIN)
-    for record in view.groups.values():
-        if record.model in exposed:
-            exposed[record.model] += len(record.members)
     mix = collections.Counter()
     for _spare in range(spares):
-        best = max(names, key=lambda name: exposed[name] / (mix[name] + 1))
+        best = max(
+            sorted(weights),
+            key=lambda name: (weights[name] + EXPOSED_MIN) / (mix[name] + 1),
+        )
         mix[best] += 1
     return mix
