Serve the users' platform through an adapter: nodes of one role

Ruled out: rows for copies and VMs in the store as the own interface keeps them: a runner's entry already shows group, epoch, rank and state, epochs fence joins, and each store call costs credit.

--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -162,6 +162,27 @@
             and self._upstream_rows.is_loaded
         )
 
+    def open_heads(self, service: str, model: str) -> int:
+        """Returns how many groups are known to serve a model.
+
+        Args:
+            service: Name of the service.
+            model: Name of the model.
+        """
+        return len(self._book.open_heads(service, model))
+
+    def table_version(self, table: str) -> int:
+        """Returns the version up to which a table of the store is known.
+
+        Args:
+            table: Name of the table.
+        """
+        return next(
+            item.version
+            for item in (self._config_rows, self._upstream_rows)
+            if item.table == table
+        )
+
     def _info(self) -> cluster.NodeInfo:
         return cluster.NodeInfo(
             self.cfg.node,
--- a/plantainway/logs.py
+++ b/plantainway/logs.py
@@ -68,7 +68,7 @@
             self._per_s * BURST_S,
         )
         self._filled_at = now
-        if self._allowance < 1 or not self._send(b''):
+        if self._allowance < 1 or not self._flush():
             self.dropped += 1
             return
         self._allowance -= 1
@@ -81,29 +81,32 @@
         if not self._send(line.encode(errors='replace')):
             self.dropped += 1
 
+    def _flush(self) -> bool:
+        """Writes the rest of a line that was cut.
+
+        Returns:
+            Whether nothing is left of it.
+        """
+        if self._rest:
+            rest, self._rest = self._rest, b''
+            if not self._send(rest):
+                self._rest = rest
+        return not self._rest
+
     def _send(self, data: bytes) -> bool:
-        """Writes bytes; a line is never cut by another.
+        """Writes a line, or its beginning if there is no room for more.
 
         Returns:
-            Whether the bytes are written or kept as the rest of a line.
+            Whether any of it is written.
         """
         if self._rest:
-            data, self._rest = self._rest + data, b''
-            kept = True
-        else:
-            kept = False
-        if not data:
-            return True
+            return False
         try:
             done = os.write(self._descriptor, data)
-        except BlockingIOError:
-            done = 0
         except OSError:
-            return False  # nobody will ever read it
-        if done == 0 and not kept:
-            return False
+            return False  # no room, or nobody will ever read it
         self._rest = data[done:]
-        return not self._rest or done > 0
+        return True
 
 
 def configure(level: str = 'INFO', sink=None) -> None:
--- /dev/null
+++ b/tests/edge/conftest.py
@@ -0,0 +1,207 @@
+"""A node, a store and runners, all on loopback."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+
+from plantainway import edge
+from tests.platform import runner_standin
+from tests.platform import store_standin
+
+HOST = 'h.example'
+WAIT_S = 20.0  # longest wait for a state that comes within a second
+
+
+def route(name, prefix, service, kind, **more):
+    """Returns a route of the operator's configuration."""
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': prefix,
+        'routeType': kind,
+        'timeoutMs': 5000,
+        'sloMs': 400,
+        'priority': 1,
+        'service': service,
+        'maxAttempts': 2,
+        'anonymous': False,
+    } | more
+
+
+def configuration(version=3, **more):
+    """Returns a configuration with each kind of route."""
+    return {
+        'version': version,
+        'routes': [
+            route('safe', '/safe/', 'plain', 'safe'),
+            route('unsafe', '/unsafe/', 'plain', 'unsafe'),
+            route(
+                'stream',
+                '/stream/',
+                'llm',
+                'stream',
+                resumable=True,
+                gapTargetMs=300,
+            ),
+            route('open', '/open/', 'plain', 'safe', anonymous=True),
+        ],
+        'services': [
+            {'name': 'plain'},
+            {
+                'name': 'llm',
+                'engine': {
+                    'slots': 4,
+                    'models': [{'name': 'm0', 'size': 2}],
+                    'step_ms': 2.0,
+                    'read_per_s': 100000.0,
+                    'chunk': 100,
+                    'loadsPerS': 10.0,
+                    'loads_at_once': 4,
+                },
+            },
+        ],
+        'limits': {'maxBodyBytes': 1000},
+        'tenants': [{'name': 't1', 'apiKeys': ['k1'], 'priority': 1}],
+    } | more
+
+
+def settings(name, store_address, **bounds):
+    """Returns the settings of a node on loopback."""
+    return edge.EdgeSettings.model_validate(
+        {
+            'node': name,
+            'zone': 'a',
+            'store': store_address,
+            'listen': {
+                'caller': '127.0.0.1:0',
+                'directory': '127.0.0.1:0',
+                'readiness': '127.0.0.1:0',
+                'peer': '127.0.0.1:0',
+            },
+            'bounds': {
+                'directory_ttl_s': 0.1,
+                'retry_slack': 1000.0,
+                'retry_window_s': 0.01,
+            }
+            | bounds,
+        }
+    )
+
+
+async def until(check, what: str) -> None:
+    """Waits until a check holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def store():
+    """A running store with a configuration."""
+    found = store_standin.StoreStandIn()
+    await found.start()
+    found.put('op', 'config', configuration())
+    yield found
+    await found.stop()
+
+
+@pytest.fixture
+async def runners(store):
+    """Two plain runners and eight engines in two domains, by name."""
+    found = [
+        runner_standin.RunnerStandIn(f'p-{n}', 'plain', store) for n in (1, 2)
+    ]
+    for number in range(8):
+        engine = runner_standin.RunnerStandIn(f'e-{number}', 'llm', store)
+        engine.domain = f'd{number // 4}'
+        found.append(engine)
+    for runner in found:
+        await runner.start()
+    yield {runner.name: runner for runner in found}
+    for runner in found:
+        await runner.stop()
+
+
+def open_heads(runners):
+    """Returns the engines that serve as heads."""
+    return [
+        runner
+        for runner in runners.values()
+        if runner.group and runner.group['state'] == 'open'
+    ]
+
+
+@pytest.fixture
+async def node(store, runners):
+    """A node that serves, both groups open."""
+    found = edge.EdgeNode(settings('n1', store.address))
+    await found.start()
+    await until(lambda: len(open_heads(runners)) == 2, 'groups')
+    await until(found.is_ready, 'ready')
+    await until(lambda: found.open_heads('llm', 'm0') == 2, 'heads seen')
+    yield found
+    await found.close()
+
+
+@pytest.fixture
+async def client():
+    """A client session that sees bytes as they are."""
+    async with aiohttp.ClientSession(auto_decompress=False) as session:
+        yield session
+
+
+class Got:
+    """What a client got: status, headers, body, and whether it is whole."""
+
+    def __init__(self, status, headers, body, is_whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.is_whole = is_whole
+
+
+async def ask(session, node, path, method='GET', key='k1', **more) -> Got:
+    """Sends one request to a node.
+
+    Args:
+        session: Client session.
+        node: The node, or its address.
+        path: Path and query.
+        method: Method.
+        key: Key, or empty.
+        more: Further headers, underscores for dashes, and ``body``.
+    """
+    address = node if isinstance(node, str) else node.addresses['caller']
+    body = more.pop('body', None)
+    headers = {
+        'Host': HOST,
+        'Request-Id': more.pop('request_id', 'r-1'),
+        'Deadline-Ms': '4000',
+    }
+    if key:
+        headers['Credential'] = key
+    headers |= {k.replace('_', '-'): v for k, v in more.items()}
+    async with session.request(
+        method, f'http://{address}{path}', headers=headers, data=body
+    ) as resp:
+        parts = []
+        is_whole = True
+        try:
+            async for data in resp.content.iter_any():
+                parts.append(data)
+        except aiohttp.ClientError:
+            is_whole = False
+        return Got(resp.status, resp.headers, b''.join(parts), is_whole)
+
+
+@contextlib.asynccontextmanager
+async def running(cfg):
+    """Runs a node without waiting for anything."""
+    found = edge.EdgeNode(cfg)
+    await found.start()
+    try:
+        yield found
+    finally:
+        await found.close()
--- /dev/null
+++ b/tests/edge/test_processes.py
@@ -0,0 +1,166 @@
+"""Two nodes as processes of their own; one is killed, one is stopped."""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import sys
+
+import pytest
+
+from tests.edge import conftest
+from tests.platform import runner_standin
+
+STREAM = {'Model': 'm0', 'Token_Count': '10,10', 'method': 'POST'}
+
+
+class Process:
+    """A node process and the lines that it writes.
+
+    Args:
+        cfg: Its settings.
+        path: Where to write them.
+    """
+
+    def __init__(self, cfg, path):
+        path.write_text(cfg.model_dump_json())
+        self._path = path
+        self.lines: list[str] = []
+        self.addresses: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Starts the process and waits until it listens."""
+        self.proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'plantainway.edge',
+            stdout=asyncio.subprocess.PIPE,
+            env=os.environ | {'PLANTAINWAY_SETTINGS': str(self._path)},
+        )
+        self._reader = asyncio.ensure_future(self._read())
+        await conftest.until(lambda: self.saw('node_started'), 'start')
+        (line,) = [one for one in self.lines if 'event=node_started' in one]
+        self.addresses = dict(
+            re.findall(r'(peer|caller|directory|readiness)=(\S+)', line)
+        )
+
+    async def _read(self) -> None:
+        async for line in self.proc.stdout:
+            self.lines.append(line.decode())
+
+    def saw(self, event: str) -> bool:
+        """Tells whether an event was logged.
+
+        Args:
+            event: Name of the event.
+        """
+        return any(f'event={event} ' in line for line in self.lines)
+
+    async def end(self, number=signal.SIGKILL) -> int:
+        """Ends the process.
+
+        Args:
+            number: Signal to send.
+
+        Returns:
+            Its exit status.
+        """
+        if self.proc.returncode is None:
+            self.proc.send_signal(number)
+        status = await self.proc.wait()
+        await self._reader
+        return status
+
+
+@pytest.fixture
+async def pair(store, runners, tmp_path):
+    """Two running node processes, the groups open."""
+    found = [
+        Process(
+            conftest.settings(name, store.address, directory_ttl_s=2.0),
+            tmp_path / f'{name}.json',
+        )
+        for name in ('n1', 'n2')
+    ]
+    for process in found:
+        await process.start()
+    await conftest.until(
+        lambda: len(conftest.open_heads(runners)) == 2, 'groups'
+    )
+    yield found
+    for process in found:
+        await process.end()
+
+
+async def _directory(client, process):
+    address = process.addresses['directory']
+    url = f'http://{address}/plantainway/resolution?name=h&zone=a'
+    async with client.get(url) as resp:
+        return resp.status, await resp.json()
+
+
+async def _ready(client, process) -> int:
+    address = process.addresses['readiness']
+    async with client.get(f'http://{address}/plantainway/readyz') as resp:
+        return resp.status
+
+
+async def _named(client, process, count: int) -> list[str]:
+    """Waits until the directory names so many nodes."""
+    async with asyncio.timeout(conftest.WAIT_S):
+        while True:
+            _status, body = await _directory(client, process)
+            if len(body['addresses']) == count:
+                return body['addresses']
+            await asyncio.sleep(0.02)
+
+
+async def _whole_answer(client, process) -> None:
+    """Asks until a stream arrives whole, as a client that retries."""
+    whole = b''.join(runner_standin.event(n) for n in range(1, 6))
+    async with asyncio.timeout(conftest.WAIT_S):
+        while True:
+            got = await conftest.ask(client, process, '/stream/x', **STREAM)
+            if got.status == 200:
+                assert got.is_whole
+                assert got.body == whole
+                return
+            assert got.status == 503
+            await asyncio.sleep(0.02)
+
+
+async def test_killed_node_is_replaced(pair, client, store):
+    """The other node leads, is named alone, and serves whole answers."""
+    for process in pair:
+        await _named(client, process, 2)
+        await _whole_answer(client, process)
+    leader, other = sorted(
+        pair, key=lambda one: not one.saw('leadership_taken')
+    )
+    assert await leader.end() == -signal.SIGKILL
+    await conftest.until(lambda: other.saw('leadership_taken'), 'leader')
+    assert await _named(client, other, 1) == [other.addresses['caller']]
+    await _whole_answer(client, other)
+    assert (
+        json.loads(store.rows[('plantainway', '', 'leader')][0])['value'][
+            'term'
+        ]
+        == 2
+    )
+
+
+async def test_stopped_node_leaves_in_order(pair, client):
+    """Out of the directory and not ready at once, then a clean exit."""
+    first, second = pair
+    for process in pair:
+        await _named(client, process, 2)
+    first.proc.send_signal(signal.SIGTERM)
+    await conftest.until(lambda: first.saw('node_leaving'), 'leaving')
+    assert await _ready(client, first) == 503
+    assert await _named(client, second, 1) == [second.addresses['caller']]
+    got = await conftest.ask(client, first, '/open/x', key='')
+    assert got.status == 200
+    assert got.headers['Connection'] == 'close'
+    assert await first.proc.wait() == 0
+    assert first.saw('node_stopped')
--- /dev/null
+++ b/tests/edge/test_requests.py
@@ -0,0 +1,271 @@
+"""Requests through a whole node, with runners that fail."""
+
+import asyncio
+
+import pytest
+
+from plantainway import edge
+from tests.edge import conftest
+from tests.platform import runner_standin
+
+STREAM = {'Model': 'm0', 'Token_Count': '10,10', 'method': 'POST'}
+
+
+def _runs(runners, prefix):
+    return [
+        seen
+        for name, runner in runners.items()
+        if name.startswith(prefix)
+        for seen in runner.seen
+    ]
+
+
+@pytest.mark.parametrize(
+    'path, key, status',
+    [
+        ('/safe/x?q=1', 'k1', 200),
+        ('/safe/x', 'k9', 401),
+        ('/safe/x', '', 401),
+        ('/open/x', '', 200),
+        ('/none/x', 'k1', 404),
+        ('/safe', 'k1', 404),
+    ],
+)
+async def test_routes_and_keys(node, runners, client, path, key, status):
+    """The longest prefix decides; keys are checked where they are asked."""
+    got = await conftest.ask(client, node, path, key=key)
+    assert got.status == status
+    runs = _runs(runners, 'p-')
+    assert len(runs) == (status == 200)
+    for seen in runs:
+        assert seen.target == path
+        assert seen.headers.get('tenant', '') == ('t1' if key else '')
+
+
+@pytest.mark.parametrize(
+    'kind, way, status, runs',
+    [
+        ('safe', 'error', 500, 2),
+        ('safe', 'reset', 502, 2),
+        ('safe', 'truncated', 502, 2),
+        ('safe', 'other_id', 502, 2),
+        ('unsafe', 'error', 500, 1),
+        ('unsafe', 'reset', 502, 1),
+        ('unsafe', 'truncated', 502, 1),
+        ('unsafe', 'other_id', 502, 1),
+        ('unsafe', 'unframed_reset', 502, 1),
+        ('unsafe', 'unframed', 200, 1),
+        ('unsafe', 'whole', 200, 1),
+    ],
+)
+async def test_what_may_have_run_is_never_called_not_run(
+    node, runners, client, kind, way, status, runs
+):
+    """An unsafe request is sent once, and no promise is broken."""
+    for name in ('p-1', 'p-2'):
+        runners[name].faults.answer = way
+    got = await conftest.ask(client, node, f'/{kind}/x', method='POST')
+    assert got.status == status
+    assert len(_runs(runners, 'p-')) == runs
+    if status == 200:
+        assert got.body in [runner.body for runner in runners.values()]
+
+
+async def test_not_run_is_told_with_a_time_to_return(node, runners, client):
+    """A request that no runner took gets 503 and Retry-After."""
+    for name in ('p-1', 'p-2'):
+        runners[name].faults.answer = 'not_run'
+    got = await conftest.ask(client, node, '/unsafe/x', method='POST')
+    assert got.status == 503
+    assert 0 < float(got.headers['Retry-After']) <= 4.0 / 3
+    assert 'Server-Stamp' not in got.headers
+
+
+async def test_unsafe_request_goes_on_after_a_refusal(node, runners, client):
+    """A runner that says it did not run the request is no attempt."""
+    runners['p-1'].faults.answer = 'not_run'
+    for number in range(4):
+        got = await conftest.ask(
+            client,
+            node,
+            '/unsafe/x',
+            method='POST',
+            request_id=f'r-{number}',
+        )
+        assert (got.status, got.body) == (200, runners['p-2'].body)
+
+
+async def test_body_limits(node, runners, client):
+    """A body over the configured limit is refused and not passed on."""
+    got = await conftest.ask(
+        client, node, '/safe/x', method='POST', body=b'x' * 1001
+    )
+    assert got.status == 413
+    got = await conftest.ask(
+        client, node, '/safe/x', method='POST', body=b'x' * 1000
+    )
+    assert got.status == 200
+    assert [seen.body for seen in _runs(runners, 'p-')] == [b'x' * 1000]
+
+
+def _whole_stream(runner_events=5):
+    return b''.join(
+        runner_standin.event(number) for number in range(1, runner_events + 1)
+    )
+
+
+@pytest.mark.parametrize('after', [None, 2])
+async def test_stream_is_passed_on(node, runners, client, after):
+    """All events in order, from where the client is."""
+    more = dict(STREAM)
+    if after:
+        more['Last_Event_Id'] = str(after)
+    got = await conftest.ask(client, node, '/stream/x', **more)
+    assert got.status == 200
+    assert got.is_whole
+    assert got.body == b''.join(
+        runner_standin.event(number) for number in range((after or 0) + 1, 6)
+    )
+    (seen,) = _runs(runners, 'e-')
+    assert seen.headers['model'] == 'm0'
+
+
+@pytest.mark.parametrize('end', ['reset', 'torn', 'silent'])
+async def test_stream_goes_on_at_another_group(node, runners, client, end):
+    """A stream that breaks off is resumed: no event missing or twice."""
+    heads = conftest.open_heads(runners)
+    for head in heads:
+        head.faults.events = 2
+        head.faults.stream_end = end
+    asked = asyncio.ensure_future(
+        conftest.ask(client, node, '/stream/x', **STREAM)
+    )
+    await conftest.until(lambda: _runs(runners, 'e-'), 'first run')
+    first = next(head for head in heads if head.seen)
+    for head in heads:
+        if head is not first:
+            head.faults.stream_end = 'whole'
+    got = await asked
+    assert got.is_whole
+    assert got.body == _whole_stream()
+    assert got.headers['Server-Stamp'] == f'stamp-{first.name}'
+
+
+async def test_stream_that_can_not_go_on_looks_broken(node, runners, client):
+    """An answer that ends early must not look complete."""
+    for head in conftest.open_heads(runners):
+        head.faults.events = 1
+        head.faults.stream_end = 'reset'
+    got = await conftest.ask(client, node, '/stream/x', **STREAM)
+    assert got.status == 200
+    assert not got.is_whole
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/stream/x'])
+async def test_client_that_leaves_ends_the_work(node, runners, client, path):
+    """The runner's connection closes soon after the client's."""
+    for runner in runners.values():
+        runner.faults.answer = 'hang'
+    asked = asyncio.ensure_future(conftest.ask(client, node, path, **STREAM))
+    await conftest.until(
+        lambda: any(runner.seen for runner in runners.values()), 'run'
+    )
+    asked.cancel()
+    await conftest.until(
+        lambda: all(
+            seen.cancelled
+            for runner in runners.values()
+            for seen in runner.seen
+        ),
+        'cancelled',
+    )
+
+
+async def test_node_without_a_configuration_says_503(store, client):
+    """A node that knows no configuration neither serves nor denies."""
+    store.put('op', 'config', None)
+    async with conftest.running(
+        conftest.settings('n1', store.address)
+    ) as node:
+        got = await conftest.ask(client, node, '/safe/x')
+        assert got.status == 503
+        assert not node.is_ready()
+
+
+async def test_configuration_comes_into_force_and_never_goes_back(
+    node, store, runners, client
+):
+    """A newer version counts, an older one never."""
+    newer = conftest.configuration(version=9)
+    newer['routes'] = newer['routes'][1:]
+    store.put('op', 'config', newer)
+    await conftest.until(
+        lambda: node.dump()['configuration'] == 9, 'version 9'
+    )
+    assert (await conftest.ask(client, node, '/safe/x')).status == 404
+    store.put('op', 'config', conftest.configuration(version=4))
+    store.put('op', 'config', b'unreadable')
+    version = store.version
+    await conftest.until(
+        lambda: node.table_version('op') >= version, 'rows seen'
+    )
+    assert (await conftest.ask(client, node, '/safe/x')).status == 404
+    assert node.dump()['configuration'] == 9
+
+
+async def test_leaving_runner_gets_no_new_work(node, store, runners, client):
+    """A runner that drains or whose entry is gone is left out."""
+    runners['p-1'].write_entry('draining')
+    version = store.version
+    await conftest.until(
+        lambda: node.table_version('servers') >= version, 'entry seen'
+    )
+    for number in range(4):
+        got = await conftest.ask(client, node, '/safe/x')
+        assert got.body == runners['p-2'].body
+    assert not runners['p-1'].seen
+
+
+async def test_group_is_formed_anew_after_a_loss(node, store, runners):
+    """A member dies: a spare replaces it, the survivor leaves first."""
+    head = conftest.open_heads(runners)[0]
+    before = head.group['epoch']
+    member = next(
+        runner
+        for runner in runners.values()
+        if runner is not head
+        and runner.group
+        and runner.group['epoch'] == before
+    )
+    await member.stop()
+    store.put('servers', member.name, None)
+    await conftest.until(
+        lambda: any(
+            one.domain == head.domain and one.group['epoch'] > before
+            for one in conftest.open_heads(runners)
+        ),
+        'new group',
+    )
+    ops = [order['op'] for order in head.orders]
+    if ops.count('join') > 1:
+        assert 'leave' in ops[: len(ops) - 1 - ops[::-1].index('join')]
+
+
+async def test_restarted_node_adopts_what_serves(node, store, runners):
+    """All nodes die: the next ones leave open groups as they are."""
+    epochs = [head.group['epoch'] for head in conftest.open_heads(runners)]
+    await node.close()
+    orders = [len(runner.orders) for runner in runners.values()]
+    again = edge.EdgeNode(conftest.settings('n1', store.address))
+    await again.start()
+    try:
+        await conftest.until(
+            lambda: again.dump()['groups'].get('llm', {}).get('groups'),
+            'adopted',
+        )
+        assert [
+            head.group['epoch'] for head in conftest.open_heads(runners)
+        ] == epochs
+        assert [len(runner.orders) for runner in runners.values()] == orders
+    finally:
+        await again.close()
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of plantainway.platform."""
--- /dev/null
+++ b/tests/platform/runner_standin.py
@@ -0,0 +1,301 @@
+"""A stand-in of a runner: requests, streams, orders, groups, reports.
+
+It writes its answers byte by byte, so that it can break the protocol where
+a test wants it to.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import socket
+import struct
+
+EVENT_S = 0.01
+
+
+@dataclasses.dataclass
+class Seen:
+    """One request as it reached the runner."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    cancelled: bool = False
+
+
+@dataclasses.dataclass
+class RunnerFaults:
+    """How the next requests are answered.
+
+    ``answer`` names a way: whole, unframed, unframed_reset, truncated,
+    other_id, not_run, error, reset, hang. ``events`` is how many events of
+    a stream are sent before ``stream_end``: whole, reset, torn, silent.
+    """
+
+    answer: str = 'whole'
+    events: int = 5
+    stream_end: str = 'whole'
+
+
+class RunnerStandIn:
+    """One runner on a port of its own.
+
+    Args:
+        name: Name of this life.
+        service: Service that it belongs to.
+        store: Store stand-in that its entry goes to, or ``None``.
+        model: Model that it serves as a group of one, or empty for plain.
+        events: Events of a whole stream.
+    """
+
+    def __init__(self, name, service='s1', store=None, model='', events=5):
+        self.name = name
+        self.service = service
+        self.store = store
+        self.faults = RunnerFaults()
+        self.events = events
+        self.born = 1700000000000
+        self.model = model
+        self.domain = 'd0'
+        self.staged: list[str] = []
+        self.group: dict | None = None
+        self.seq = 0
+        self.seen: list[Seen] = []
+        self.orders: list[dict] = []
+        self.newest_epoch = 0
+        self.body = b'the answer of ' + name.encode()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listens and writes the entry."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        self.write_entry()
+
+    async def stop(self) -> None:
+        """Cuts all connections, as a crash does."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def write_entry(self, state: str = 'ready') -> None:
+        """Writes the entry in the store.
+
+        Args:
+            state: ready or draining.
+        """
+        if self.store is None:
+            return
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'a',
+            'slots': 4,
+            'state': state,
+            'born': self.born,
+            'domain': self.domain,
+            'staged': self.staged,
+            'seq': self.seq,
+        }
+        if self.group is not None:
+            entry['group'] = self.group
+            entry['models'] = [{'name': self.model, 'version': 1}]
+        self.store.put('servers', self.name, entry)
+
+    async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                await self._serve_one(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, _Closed):
+            pass
+        finally:
+            self._writers.discard(writer)
+            with contextlib.suppress(RuntimeError):
+                writer.close()
+
+    async def _serve_one(self, reader, writer) -> None:
+        head = await reader.readuntil(b'\r\n\r\n')
+        first, *lines = head.decode().rstrip().split('\r\n')
+        method, target, _version = first.split(' ')
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(':')
+            headers[name.strip().lower()] = value.strip()
+        length = int(headers.get('content-length', 0))
+        body = await reader.readexactly(length)
+        if target == '/plantainway/report':
+            self._send_json(writer, 200, self._report())
+            return
+        expected = headers.get('expect-instance', self.name)
+        if expected != self.name:
+            _send(writer, 421, [('Instance-Id', self.name)], b'')
+            return
+        if target == '/plantainway/order':
+            status = self._order(json.loads(body))
+            self._send_json(writer, status, {})
+            return
+        seen = Seen(method, target, headers, body)
+        self.seen.append(seen)
+        await self._answer(reader, writer, seen)
+
+    def _report(self) -> dict:
+        report = {
+            'phase': 'both',
+            'models': [],
+            'busy': False,
+            'seq': self.seq,
+            'born': self.born,
+            'queued': 0,
+            'active': 0,
+        }
+        if self.group is not None:
+            report['group'] = self.group
+            report['models'] = [{'name': self.model, 'version': 1}]
+        return report
+
+    def _order(self, order: dict) -> int:
+        """Carries an order out as the protocol says, without any delay."""
+        self.orders.append(order)
+        op = order['op']
+        if op == 'phase':
+            self.staged = [order['model']]
+            self.write_entry()
+            return 202
+        epoch, name = order['epoch'], order['group']
+        if op == 'join':
+            if epoch < self.newest_epoch:
+                return 412
+            self.newest_epoch = epoch
+            self.seq += 1
+            self.model = order['model']
+            self.staged = [order['model']]
+            self.group = {
+                'name': name,
+                'epoch': epoch,
+                'rank': order['members'].index(self.name),
+                'state': 'ready',
+            }
+        else:
+            mine = self.group or {}
+            if (mine.get('name'), mine.get('epoch')) != (name, epoch):
+                return 409
+            if op == 'open':
+                if mine['rank'] != 0 or mine['state'] != 'ready':
+                    return 409
+                mine['state'] = 'open'
+            elif op == 'close':
+                mine['state'] = 'ready'
+            elif op == 'leave':
+                self.group = None
+        self.write_entry()
+        return 202
+
+    def _send_json(self, writer, status, value) -> None:
+        body = json.dumps(value).encode()
+        _send(writer, status, [('Content-Type', 'application/json')], body)
+
+    async def _answer(self, reader, writer, seen) -> None:
+        request_id = seen.headers.get('request-id', '')
+        headers = [
+            ('Request-Id', request_id),
+            ('Server-Stamp', f'stamp-{self.name}'),
+        ]
+        way = self.faults.answer
+        if way == 'not_run':
+            _send(writer, 503, [('Not-Executed', '1')], b'')
+        elif way == 'error':
+            _send(writer, 500, headers, b'failed')
+        elif way == 'reset':
+            _reset(writer)
+            raise _Closed
+        elif way == 'hang':
+            await self._wait_for_close(reader, seen)
+        elif way == 'other_id':
+            headers[0] = ('Request-Id', 'another')
+            _send(writer, 200, headers, self.body)
+        elif self.model:
+            await self._stream(reader, writer, seen, headers)
+        elif way == 'whole':
+            _send(writer, 200, headers, self.body)
+        elif way == 'truncated':
+            headers.append(('Content-Length', str(len(self.body) + 10)))
+            _send(writer, 200, headers, self.body, framed=False)
+            writer.close()
+            raise _Closed
+        elif way == 'unframed':
+            _send(writer, 200, headers, self.body, framed=False)
+            writer.close()
+            raise _Closed
+        elif way == 'unframed_reset':
+            _send(writer, 200, headers, self.body, framed=False)
+            await asyncio.sleep(EVENT_S)
+            _reset(writer)
+            raise _Closed
+
+    async def _wait_for_close(self, reader, seen) -> None:
+        await reader.read(1)
+        seen.cancelled = True
+        raise _Closed
+
+    async def _stream(self, reader, writer, seen, headers) -> None:
+        headers.append(('Content-Type', 'text/event-stream'))
+        headers.append(('Transfer-Encoding', 'chunked'))
+        _send(writer, 200, headers, b'', framed=False)
+        first = int(seen.headers.get('last-event-id', 0)) + 1
+        cut = self.faults.stream_end != 'whole'
+        last = self.events
+        if cut:
+            last = min(first + self.faults.events - 1, self.events)
+        for number in range(first, last + 1):
+            _chunk(writer, event(number))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        if self.faults.stream_end == 'torn':
+            _chunk(writer, b'id: 99\ndata: to')
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        if self.faults.stream_end == 'silent':
+            await self._wait_for_close(reader, seen)
+        if cut:
+            _reset(writer)
+            raise _Closed
+        writer.write(b'0\r\n\r\n')
+
+
+class _Closed(Exception):
+    """The runner has closed the connection."""
+
+
+def event(number: int) -> bytes:
+    """Returns the bytes of an event of a stream.
+
+    Args:
+        number: Its id.
+    """
+    return b'id: %d\ndata: word%d\n\n' % (number, number)
+
+
+def _reset(writer) -> None:
+    """Resets a connection, rather than closing it as if in order."""
+    sock = writer.get_extra_info('socket')
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def _chunk(writer, data: bytes) -> None:
+    writer.write(b'%x\r\n%s\r\n' % (len(data), data))
+
+
+def _send(writer, status, headers, body, framed: bool = True) -> None:
+    lines = [f'HTTP/1.1 {status} X']
+    lines += [f'{name}: {value}' for name, value in headers]
+    if framed:
+        lines.append(f'Content-Length: {len(body)}')
+    writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n' + body)
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,148 @@
+"""Bodies of the platform, decoded; other writers may leave anything."""
+
+import json
+
+import pytest
+
+from plantainway import deployment
+from plantainway import errors
+from plantainway import platform
+from plantainway.platform import _messages
+
+ENTRY = {
+    'service': 's1',
+    'address': '10.0.0.1:80',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 13,
+    'state': 'ready',
+    'coldLeftMs': 0,
+    'seq': 4,
+    'born': 1700000000000,
+    'domain': 'a-d0',
+    'staged': ['m0'],
+    'models': [{'name': 'm0', 'version': 1, 'adapters': []}],
+    'group': {'name': 'g7', 'epoch': 12, 'rank': 0, 'state': 'open'},
+}
+ROUTE = {
+    'name': 'r1',
+    'host': 'h.example',
+    'prefix': '/a/',
+    'routeType': 'stream',
+    'timeoutMs': 8000,
+    'sloMs': 500,
+    'priority': 1,
+    'split': [
+        {'service': 's1', 'weight': 90},
+        {'service': 's2', 'weight': 10},
+    ],
+    'maxAttempts': 2,
+    'anonymous': False,
+    'sticky': True,
+    'resumable': True,
+    'gapTargetMs': 300,
+}
+CONFIG = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {
+            'name': 's1',
+            'healthPath': '/healthz',
+            'maxConns': 651,
+            'engine': {
+                'slots': 13,
+                'models': [
+                    {'name': 'm0', 'size': 4, 'share': 0.67, 'pace': 1.0}
+                ],
+                'step_ms': 6.0,
+                'per_seq_ms': 0.5,
+                'read_per_s': 46000.0,
+                'chunk': 2048,
+                'stride': 5,
+                'unheard_of': 1,
+            },
+        }
+    ],
+    'limits': {'maxBodyBytes': 100},
+    'tenants': [{'name': 't1', 'apiKeys': ['k1', 'k2'], 'priority': 2}],
+}
+
+
+def test_entry_is_decoded_whole():
+    """Each field lands where the project looks for it."""
+    found = platform.decode_upstream('i-1', json.dumps(ENTRY).encode())
+    assert found == deployment.Upstream(
+        name='i-1',
+        service='s1',
+        address='10.0.0.1:80',
+        zone='a',
+        slots=13,
+        draining=False,
+        born=1700000000000,
+        domain='a-d0',
+        staged=('m0',),
+        orders_begun=4,
+        membership=deployment.Membership(
+            'g7', 12, 0, deployment.GroupState.OPEN, 'm0'
+        ),
+    )
+    assert found.is_open_head
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'null',
+        b'{"service": "s1"}',
+        json.dumps(ENTRY | {'address': 5}).encode(),
+        json.dumps(ENTRY | {'state': 'lost'}).encode(),
+        json.dumps(ENTRY | {'slots': '13'}).encode(),
+        json.dumps(ENTRY | {'group': {'name': 'g7'}}).encode(),
+        json.dumps(ENTRY | {'group': ENTRY['group'] | {'rank': 'x'}}).encode(),
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(body):
+    """An entry that can't be read names no upstream."""
+    assert platform.decode_upstream('i-1', body) is None
+
+
+def test_configuration_is_decoded_whole():
+    """Routes, services, accounts and limits."""
+    cfg = platform.decode_configuration(json.dumps(CONFIG).encode())
+    route = cfg.routes.find('h.example', '/a/2f')
+    assert route.kind is deployment.RouteKind.STREAM
+    assert route.split == (('s1', 90.0), ('s2', 10.0))
+    assert (route.timeout_ms, route.target_ms, route.pause_ms) == (
+        8000,
+        500,
+        300,
+    )
+    assert cfg.account('k2') == deployment.Account('t1', 2)
+    assert cfg.account('k3') is None
+    assert cfg.limits.body_bytes == 100
+    assert cfg.keyed
+    engine = cfg.engines['s1']
+    assert engine.model('m0').members == 4
+    assert engine.longest_pass_s('m0') == pytest.approx(
+        5 * (0.0125 + 2048 / 46000)
+    )
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'{}', b'{"version": "x", "routes": []}', b'[1]', b'\xff']
+)
+def test_unreadable_configuration_is_a_coded_error(body):
+    """A configuration that can't be read is never put in force."""
+    with pytest.raises(errors.WireError):
+        platform.decode_configuration(body)
+
+
+@pytest.mark.parametrize('body', [b'', b'{"seq": "x"}', b'[]'])
+def test_unreadable_report_is_a_coded_error(body):
+    """A report that can't be read is no report."""
+    with pytest.raises(errors.WireError):
+        _messages.decode_report(body)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,107 @@
+"""Contract of the client of the metadata store, with faults."""
+
+import pytest
+
+from plantainway import errors
+from plantainway import platform
+from plantainway import stores
+from tests.platform import store_standin
+
+OUTCOME = stores.Outcome
+
+
+@pytest.fixture
+async def server():
+    """A running stand-in of the store."""
+    found = store_standin.StoreStandIn(page_rows=3)
+    await found.start()
+    yield found
+    await found.stop()
+
+
+@pytest.fixture
+async def client(server):
+    """The client under test."""
+    async with platform.new_session() as session:
+        yield platform.PlatformStore(server.address, session)
+
+
+def _txn(key, version, value):
+    return stores.Transaction(
+        stores.new_txn_id(),
+        (stores.Check(key, version),),
+        (stores.Write(key, value),),
+    )
+
+
+@pytest.mark.parametrize('count', [0, 1, 3, 4, 7])
+async def test_snapshot_reads_all_pages(server, client, count):
+    """A table is read whole, whatever the size of a page."""
+    for number in range(count):
+        server.put('servers', f'k{number}', {'n': number})
+    reading = await client.snapshot('servers')
+    assert [row.key for row in reading.rows] == [
+        f'k{number}' for number in range(count)
+    ]
+    assert reading.version == server.version
+
+
+async def test_changes_come_in_order_with_tombstones(server, client):
+    """Changes after a version, dropped rows marked."""
+    server.put('servers', 'a', {'n': 1})
+    after = server.version
+    server.put('servers', 'b', {'n': 2})
+    server.put('servers', 'a', None)
+    reading = await client.changes('servers', after, 0.0)
+    assert [(row.key, row.value is None) for row in reading.rows] == [
+        ('b', False),
+        ('a', True),
+    ]
+    assert reading.version == server.version
+
+
+async def test_lost_history_is_told(server, client):
+    """A version that the store has forgotten is a coded error."""
+    server.put('servers', 'a', {'n': 1})
+    server.forget_history()
+    with pytest.raises(errors.HistoryLostError):
+        await client.changes('servers', 0, 0.0)
+
+
+@pytest.mark.parametrize(
+    'switches',
+    [{'down': True}, {'refused': 1}],
+)
+async def test_no_answer_is_a_coded_error(server, client, switches):
+    """Every failed reading names the step and the peer."""
+    for name, value in switches.items():
+        setattr(server.faults, name, value)
+    with pytest.raises(errors.StoreUnavailableError) as caught:
+        await client.snapshot('servers')
+    assert caught.value.step
+    assert caught.value.peer == server.address
+
+
+@pytest.mark.parametrize(
+    'switches, version, outcome, stored',
+    [
+        ({}, 0, OUTCOME.COMMITTED, {'n': 1}),
+        ({}, 7, OUTCOME.NOT_COMMITTED, None),
+        ({'lost_answers': 1}, 0, OUTCOME.UNKNOWN, {'n': 1}),
+        ({'refused': 1}, 0, OUTCOME.UNKNOWN, None),
+        ({'down': True}, 0, OUTCOME.UNKNOWN, None),
+    ],
+)
+async def test_commit_has_three_outcomes(
+    server, client, switches, version, outcome, stored
+):
+    """A commit is committed, not committed or unknown, never guessed."""
+    for name, value in switches.items():
+        setattr(server.faults, name, value)
+    result = await client.commit(_txn('k', version, {'n': 1}))
+    assert result.outcome is outcome
+    server.faults.down = False
+    row = await client.read('k')
+    assert (row.value if row else None) == stored
+    if outcome is OUTCOME.COMMITTED:
+        assert result.version == row.version
--- /dev/null
+++ b/tests/supply/test_plan.py
@@ -0,0 +1,207 @@
+"""Which groups are formed of which engines, and what spares hold."""
+
+import pytest
+
+from plantainway import clock as clocks
+from plantainway import deployment
+from plantainway.supply import _demand
+from plantainway.supply import _plan
+from plantainway.supply import _state
+
+
+def _profile():
+    return deployment.EngineProfile(
+        slots=13,
+        models=(
+            deployment.ModelProfile('big', 4, 0.67, 1.0, 16.0, 1.6),
+            deployment.ModelProfile('small', 2, 0.33, 0.6, 12.0, 1.1),
+        ),
+        step_ms=6.0,
+        sequence_ms=0.5,
+        context_ms_per_k=0.01,
+        prefill_per_s=46000.0,
+        prefill_chunk=2048,
+        stride=5,
+        usual_prompt=1000.0,
+        usual_answer=100.0,
+        kv_tokens=700000,
+        form_ms=300.0,
+        loads_per_s=4.0,
+        loads_at_once=6,
+    )
+
+
+def _engine(name, staged='', group='', **more):
+    member = None
+    if group:
+        member = deployment.Membership(
+            group, 1, 0, deployment.GroupState.READY, staged
+        )
+    upstream = deployment.Upstream(
+        name,
+        's',
+        '10.0.0.1:1',
+        'a',
+        13,
+        more.get('draining', False),
+        staged=(staged,) if staged else (),
+        membership=member,
+    )
+    return _state.EngineFacts(upstream)
+
+
+def _view(domain, engines, groups=(), busy=(), left=()):
+    records = {
+        name: _state.GroupRecord(name, 1, model, members, 0.0, {})
+        for name, model, members in groups
+    }
+    return _state.DomainView(
+        domain,
+        {engine.name: engine for engine in engines},
+        records,
+        frozenset(busy),
+        frozenset(left),
+    )
+
+
+def _counts(big, small, want=(1, 1)):
+    return _plan.Counts(
+        {'big': big, 'small': small},
+        {
+            'big': _plan.Wanted(want[0], 0),
+            'small': _plan.Wanted(want[1], 0),
+        },
+    )
+
+
+def _formed(actions):
+    return [(action.model, action.members) for action in actions]
+
+
+@pytest.mark.parametrize(
+    'engines, domains, demand, big, small',
+    [
+        (48, 6, {}, 6, 6),
+        (0, 0, {}, 1, 1),
+        (48, 6, {'small': 7.5}, 6, 9),
+        (171, 9, {}, 26, 25),
+    ],
+)
+def test_wanted_groups(engines, domains, demand, big, small):
+    """Engines less spares are dealt out by share; demand asks for more."""
+    wanted = _plan.wanted_groups(_profile(), engines, domains, demand)
+    assert (wanted['big'].most, wanted['small'].most) == (big, small)
+
+
+def test_large_group_is_formed_first_at_the_start():
+    """Engines that register first are not taken by a small group."""
+    engines = [_engine(f'e{n}') for n in range(3)]
+    actions = _plan.form_groups(
+        [_view('d', engines)], _profile(), _counts(0, 0), 8, True
+    )
+    assert actions == []
+    engines += [_engine('e3')]
+    actions = _plan.form_groups(
+        [_view('d', engines)], _profile(), _counts(0, 0), 8, True
+    )
+    assert _formed(actions) == [('big', ('e0', 'e1', 'e2', 'e3'))]
+
+
+def test_group_never_spans_domains():
+    """Four idle engines in two domains make no group of four."""
+    views = [
+        _view('d0', [_engine('a0', 'big'), _engine('a1', 'big')]),
+        _view('d1', [_engine('b0', 'big'), _engine('b1', 'big')]),
+    ]
+    counts = _counts(0, 1)
+    assert _plan.form_groups(views, _profile(), counts, 8, False) == []
+
+
+def test_survivors_and_a_staged_spare_come_first():
+    """The engines that have the weights are taken, without a load."""
+    engines = [
+        _engine('e0', 'small'),
+        _engine('e1', 'big'),
+        _engine('e2', 'big'),
+        _engine('e3', 'big'),
+        _engine('e4', 'big'),
+    ]
+    actions = _plan.form_groups(
+        [_view('d', engines)], _profile(), _counts(0, 1), 0, False
+    )
+    assert _formed(actions) == [('big', ('e1', 'e2', 'e3', 'e4'))]
+
+
+@pytest.mark.parametrize(
+    'busy, left, formed',
+    [((), (), False), (('e0',), (), False), ((), ('e0',), True)],
+)
+def test_engine_joins_only_after_it_has_left(busy, left, formed):
+    """An engine still in another group may not join one."""
+    engines = [_engine('e0', 'small', 'g9'), _engine('e1', 'small')]
+    view = _view('d', engines, busy=busy, left=[(n, 'g9', 1) for n in left])
+    actions = _plan.form_groups([view], _profile(), _counts(1, 0), 8, False)
+    assert bool(actions) is formed
+
+
+def test_no_load_while_survivors_leave():
+    """Engines about to be free save a load."""
+    views = [
+        _view('d0', [_engine('a0', 'small'), _engine('a1', 'big')]),
+        _view('d1', [_engine('b0', 'small', 'g1')], busy=('b0',)),
+    ]
+    counts = _counts(1, 0)
+    assert _plan.form_groups(views, _profile(), counts, 8, False) == []
+
+
+def test_spares_are_not_loaded_for_more_than_the_base():
+    """Demand takes spares that have the weights, and loads none."""
+    counts = _plan.Counts(
+        {'big': 1, 'small': 1},
+        {'big': _plan.Wanted(1, 0), 'small': _plan.Wanted(1, 3)},
+    )
+    cold = [_engine('e0', 'big'), _engine('e1', 'small')]
+    warm = [_engine('e2', 'small'), _engine('e3', 'small')]
+    formed = _plan.form_groups(
+        [_view('d0', cold), _view('d1', warm)], _profile(), counts, 8, False
+    )
+    assert _formed(formed) == [('small', ('e2', 'e3'))]
+
+
+def test_draining_engine_joins_nothing():
+    """An engine that is leaving is not idle."""
+    engines = [
+        _engine('e0', 'small', draining=True),
+        _engine('e1', 'small'),
+    ]
+    assert [e.name for e in _plan.idle_engines(_view('d', engines))] == ['e1']
+
+
+@pytest.mark.parametrize(
+    'staged, starting, expected',
+    [
+        (('', ''), True, [('e0', 'big'), ('e1', 'small')]),
+        (('big', ''), True, [('e1', 'small')]),
+        (('big', 'big'), True, [('e1', 'small')]),
+        (('big', 'big'), False, []),
+        (('big', 'small'), True, []),
+    ],
+)
+def test_spares_hold_a_mix(staged, starting, expected):
+    """A domain's spares hold both models; later none is loaded anew."""
+    engines = [_engine(f'e{n}', model) for n, model in enumerate(staged)]
+    actions = _plan.stage_spares(
+        [_view('d', engines)], _profile(), _counts(1, 1), 8, starting
+    )
+    assert sorted((a.upstream, a.model) for a in actions) == sorted(expected)
+
+
+def test_demand_is_measured_over_a_window():
+    """Work asked in a window, in groups kept busy."""
+    clock = clocks.ManualClock()
+    meter = _demand.DemandMeter(clock)
+    assert meter.groups() == {}
+    for step in range(6):
+        meter.note({'big': 3.0 * step})
+        clock.advance(1.0)
+    assert meter.groups() == {'big': pytest.approx(3.0)}
