--- /dev/null
+++ b/plantainway/edge/_election.py
@@ -0,0 +1,93 @@
+"""Takes part in the election, and leads or follows."""
+
+import asyncio
+
+from plantainway import cluster
+from plantainway import errors
+from plantainway import logs
+
+TICK_S = 0.25
+LOOK_EVERY_S = 0.8
+PATIENCE_MAX_S = 0.4  # candidates spread over so long
+
+
+class ElectionTask:
+    """Keeps the lease while this node leads, and a link to the leader else.
+
+    Args:
+        leadership: The lease.
+        hub: Links of the other nodes, while this one leads.
+        link: Link to the leader.
+        clock: Source of monotonic time.
+        rng: Source of randomness.
+        spawn: Function that runs a coroutine as a task.
+    """
+
+    def __init__(self, leadership, hub, link, clock, rng, spawn):
+        self._leadership = leadership
+        self._hub = hub
+        self._link = link
+        self._clock = clock
+        self._spawn = spawn
+        self._patience_s = rng.uniform(0.0, PATIENCE_MAX_S)
+        self._renew_at = 0.0
+        self._looked_at = float('-inf')
+        self._link_task: asyncio.Task | None = None
+        self.address = ''
+        self.is_leaving = False
+        self.on_renewed = []
+
+    async def run(self) -> None:
+        """Leads or follows while the node runs."""
+        while True:
+            try:
+                if self._leadership.leads():
+                    await self._renew()
+                elif self._link_task is None or self._link_task.done():
+                    await self._look()
+            except errors.StoreUnavailableError as exc:
+                logs.event('lease_unreadable', reason=exc.message)
+            await asyncio.sleep(TICK_S)
+
+    async def _renew(self) -> None:
+        if self._clock.now() < self._renew_at:
+            return
+        self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
+        if not await self._leadership.renew():
+            self._renew_at = self._clock.now() + TICK_S
+        if not self._leadership.leads():
+            logs.event('leadership_lost', term=self._leadership.term)
+        for listener in self.on_renewed:
+            listener()
+
+    async def _look(self) -> None:
+        now = self._clock.now()
+        if now - self._looked_at >= LOOK_EVERY_S:
+            self._looked_at = now
+            await self._leadership.look()
+        if not await self._take():
+            self._follow()
+
+    async def _take(self) -> bool:
+        """Takes the lease if it is free.
+
+        Returns:
+            Whether this node leads now.
+        """
+        leadership = self._leadership
+        if self.is_leaving or not leadership.may_take(self._patience_s):
+            return False
+        if not await leadership.take(self.address):
+            return False
+        self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
+        if self._link.digest is not None:
+            self._hub.inherit(self._link.digest.nodes)
+        logs.event('leadership_taken', term=leadership.term)
+        return True
+
+    def _follow(self) -> None:
+        holder = self._leadership.holder
+        if holder is None or not holder.node:
+            return
+        if holder.address != self.address:
+            self._link_task = self._spawn(self._link.run_link(holder.address))
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -13,6 +13,7 @@
 from plantainway import clock as clocks
 from plantainway import cluster
 from plantainway import deployment
+from plantainway.edge import _election
 from plantainway.edge import _feeds
 from plantainway.edge import _metrics
 from plantainway import errors
@@ -21,9 +22,6 @@
 from plantainway import supply
 from plantainway import traffic
 
-ELECTION_TICK_S = 0.25
-LOOK_EVERY_S = 0.8
-PATIENCE_MAX_S = 0.4  # candidates spread over so long
 SUSPECT_S = 1.0  # how long a suspicion is told to the leader
 STILL_ASKED_S = 0.5  # on top of the longest time that clients keep an answer
 KEPT_TIMES = 3.0  # some clients keep an answer of the directory so long
@@ -45,7 +43,6 @@
         self._rng = rng or random.Random()
         self._tasks: set[asyncio.Task] = set()
         self._leaving = False
-        self._renew_at = 0.0
         self._fewer_nodes_at = 0.0
         self._suspects: dict[str, float] = {}
         self._work: dict[str, float] = {}
@@ -69,7 +66,8 @@
             await self._readiness.listen(listen.metrics)
         for task in self._feeds:
             self._spawn(task.run())
-        self._spawn(self._lead())
+        self._election.address = self.addresses['peer']
+        self._spawn(self._election.run())
         logs.event(
             'node_started',
             node=self.cfg.node,
@@ -100,6 +98,17 @@
         self._hub.on_beat.append(self._take_beat)
         self._link = cluster.HubClient(followers, self._beat, clock)
         self._link.on_digest.append(self._take_digest)
+        self._election = _election.ElectionTask(
+            self._leadership,
+            self._hub,
+            self._link,
+            clock,
+            self._rng,
+            self._spawn,
+        )
+        self._election.on_renewed.append(
+            lambda: self._set_nodes(len(self._hub.nodes()))
+        )
         self._feeds = [
             _feeds.FeedTask(item, self._store, self._leadership.leads, clock)
             for item in followers
@@ -371,51 +380,6 @@
         )
         self._parts.heads.pump()
 
-    async def _lead(self) -> None:
-        """Takes part in the election, and leads or follows."""
-        looked_at = float('-inf')
-        patience_s = self._rng.uniform(0.0, PATIENCE_MAX_S)
-        link = None
-        while True:
-            try:
-                if self._leadership.leads():
-                    await self._renew()
-                elif link is None or link.done():
-                    now = self._clock.now()
-                    if now - looked_at >= LOOK_EVERY_S:
-                        looked_at = now
-                        await self._leadership.look()
-                    link = await self._follow_or_take(patience_s)
-            except errors.StoreUnavailableError as exc:
-                logs.event('lease_unreadable', 'DEBUG', reason=exc.message)
-            await asyncio.sleep(ELECTION_TICK_S)
-
-    async def _renew(self) -> None:
-        if self._clock.now() < self._renew_at:
-            return
-        self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
-        if not await self._leadership.renew():
-            self._renew_at = self._clock.now() + ELECTION_TICK_S
-        if not self._leadership.leads():
-            logs.event('leadership_lost', term=self._leadership.term)
-        self._set_nodes(len(self._hub.nodes()))
-
-    async def _follow_or_take(self, patience_s: float):
-        leadership = self._leadership
-        if leadership.may_take(patience_s) and not self._leaving:
-            if await leadership.take(self.addresses['peer']):
-                self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
-                if self._link.digest is not None:
-                    self._hub.inherit(self._link.digest.nodes)
-                logs.event('leadership_taken', term=leadership.term)
-                return None
-        holder = leadership.holder
-        if holder is None or not holder.node:
-            return None
-        if holder.address == self.addresses['peer']:
-            return None
-        return self._spawn(self._link.run_link(holder.address))
-
     async def stop(self) -> None:
         """Leaves: no new clients, all requests in progress ended."""
         if self._leaving:
@@ -428,6 +392,7 @@
             in_progress=self._gateway.in_progress,
         )
         self._ingress.closing = True
+        self._election.is_leaving = True
         self._link.poke()
         self._hub.poke()
         with contextlib.suppress(errors.PlantainwayError):
