Count an engine that loads as a spare of that model

Ruled out: the leader's change at 12.3 s (the form was missing since 6.0 s). Change: loading engines count in the mix with the model that they load.

--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -64,7 +64,7 @@
         )
         self._releases = _releases.ReleaseBook()
         self._groups: dict[str, _state.GroupRecord] = {}
-        self._staging: set[str] = set()
+        self._staging: dict[str, str] = {}
         self._epochs = 0
         self._term = 0
         self._load_starts: list[float] = []
@@ -198,11 +198,20 @@
                 NO_DOMAIN,
             )
             groups.setdefault(domain, {})[record.name] = record
-        busy = self._releases.pending | self._staging
+        busy = self._releases.pending | self._staging.keys()
         left = self._releases.left
         return [
             _state.DomainView(
-                domain, domains.get(domain, {}), groups[domain], busy, left
+                domain,
+                domains.get(domain, {}),
+                groups[domain],
+                busy,
+                left,
+                {
+                    name: model
+                    for name, model in self._staging.items()
+                    if name in domains.get(domain, {})
+                },
             )
             for domain in sorted(groups)
         ]
@@ -284,7 +293,7 @@
         elif isinstance(action, _state.Disband):
             self._disband(action, facts)
         elif isinstance(action, _state.Stage):
-            self._staging.add(action.upstream)
+            self._staging[action.upstream] = action.model
             self._load_starts.append(now)
             logs.event('stage', upstream=action.upstream, model=action.model)
             self._spawn(self._stage(action))
@@ -381,7 +390,7 @@
                 if upstream is None or action.model in upstream.staged:
                     return
         finally:
-            self._staging.discard(action.upstream)
+            self._staging.pop(action.upstream, None)
 
     async def run(self) -> None:
         """Plans again and again while the node runs."""
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -265,11 +265,13 @@
         if _leaving(view):
             continue  # they may make a group with the idle ones
         idle = idle_engines(view)
-        missing = _spare_mix(weights, len(idle))
+        missing = _spare_mix(weights, len(idle) + len(view.staging))
+        missing.subtract(view.staging.values())
         misfits = []
         for engine in idle:
             kept = next(
-                (m for m in engine.upstream.staged if missing.get(m, 0)), None
+                (m for m in engine.upstream.staged if missing.get(m, 0) > 0),
+                None,
             )
             if kept is not None:
                 missing[kept] -= 1
@@ -280,7 +282,7 @@
                 misfits.append(engine)
         for engine in misfits:
             wanted = max(names, key=lambda name: missing[name])
-            if loads_free <= 0 or not missing[wanted]:
+            if loads_free <= 0 or missing[wanted] <= 0:
                 break
             missing[wanted] -= 1
             loads_free -= 1
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -76,7 +76,8 @@
     """One fabric domain as the planner sees it.
 
     ``busy`` names engines that load weights or leave a group, ``left`` the
-    memberships that have ended though entries still show them.
+    memberships that have ended though entries still show them, ``staging``
+    the models that engines are loading.
     """
 
     domain: str
@@ -84,6 +85,7 @@
     groups: dict[str, GroupRecord]
     busy: frozenset
     left: frozenset = frozenset()
+    staging: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/supply/test_plan.py
+++ b/tests/supply/test_plan.py
@@ -50,7 +50,7 @@
     return _state.EngineFacts(upstream)
 
 
-def _view(domain, engines, groups=(), busy=(), left=()):
+def _view(domain, engines, groups=(), busy=(), left=(), staging=None):
     records = {
         name: _state.GroupRecord(name, 1, model, members, 0.0, {})
         for name, model, members in groups
@@ -61,6 +61,7 @@
         records,
         frozenset(busy),
         frozenset(left),
+        staging or {},
     )
 
 
@@ -196,6 +197,13 @@
     assert sorted((a.upstream, a.model) for a in actions) == sorted(expected)
 
 
+def test_spare_is_not_loaded_anew_while_another_loads():
+    """An engine that is loading counts with what it loads."""
+    engines = [_engine('e0'), _engine('e1', 'small')]
+    view = _view('d', engines, busy=('e0',), staging={'e0': 'big'})
+    assert _plan.stage_spares([view], _profile(), _counts(1, 1), 8, True) == []
+
+
 def test_demand_is_measured_over_a_window():
     """Work asked in a window, in groups kept busy."""
     clock = clocks.ManualClock()
