Replace slow members by staged spares; wait longer after each stall

Ruled out: dead heads (few disbands then). Change: the pace of a report counts; a group with a slow member is given up where idle staged engines can take its place; a head with a stall gets twice the patience until its group changes.

--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -285,6 +285,9 @@
                 unreadable.append(row.key)
                 continue
             decoded.append(upstream)
+            known = self._book.by_name.get(upstream.name)
+            if known is None or known.membership != upstream.membership:
+                self._parts.stalls.forget(upstream.name)
             self._log_upstream(upstream, row.version)
         self._book.apply(
             decoded, [*removed, *unreadable], self._upstream_rows.version
--- a/plantainway/supply/_contacts.py
+++ b/plantainway/supply/_contacts.py
@@ -109,7 +109,8 @@
                 contact.next_at = now + PROBE_EVERY_S
                 self.probe_soon(name)
         for name, contact in self._contact.items():
-            if contact.silent_since is not None and now >= contact.next_at:
+            odd = contact.silent_since is not None or contact.pace > 1.0
+            if odd and now >= contact.next_at:
                 contact.next_at = now + PROBE_EVERY_S
                 self.probe_soon(name)
 
@@ -150,7 +151,7 @@
                     return
                 if contact.is_lost:
                     logs.event('engine_regained', upstream=name)
-                contact.answered()
+                contact.answered(report.pace)
                 return
         finally:
             contact.probing = False
@@ -187,6 +188,7 @@
         self.silent_since: float | None = None
         self.is_gone = False
         self.is_lost = False
+        self.pace = 1.0
         self._failures = 0
         self._life = 0
 
@@ -205,8 +207,13 @@
         """Tells whether it has failed to answer often enough."""
         return self._failures >= SILENT_AFTER
 
-    def answered(self) -> None:
-        """Takes in a report."""
+    def answered(self, pace: float = 1.0) -> None:
+        """Takes in a report.
+
+        Args:
+            pace: How many times slower than usual the engine is.
+        """
+        self.pace = pace
         self._failures = 0
         self.silent_since = None
         self.is_gone = False
@@ -230,4 +237,4 @@
             return _state.EngineFacts(
                 upstream, _state.Contact.SILENT, self.silent_since
             )
-        return _state.EngineFacts(upstream)
+        return _state.EngineFacts(upstream, pace=self.pace)
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -98,6 +98,7 @@
         engine
         for name, engine in sorted(view.engines.items())
         if engine.is_usable
+        and not engine.is_slow
         and name not in taken
         and name not in view.busy
         and (engine.membership is None or engine.member_key in view.left)
--- a/plantainway/supply/_repair.py
+++ b/plantainway/supply/_repair.py
@@ -1,6 +1,7 @@
 """What to do with groups that lost a member or wait to open."""
 
 from plantainway import deployment
+from plantainway.supply import _plan
 from plantainway.supply import _state
 
 JOIN_SLACK_S = 1.5  # beyond the expected time of a join
@@ -16,7 +17,8 @@
     Answers the load of members that die one after the other: nothing moves
     in a group that has lost a member, so its survivors leave at once and
     are free for a new group. An engine that has left a group can't serve in
-    it again, whatever its old head believes.
+    it again, whatever its old head believes. A group with a slow member is
+    as slow as that one; it is given up where spares can take its place.
 
     Args:
         view: The domain.
@@ -65,6 +67,9 @@
     ]
     if leaving:
         return _state.Close(record.name, True, f'{leaving[0]} is leaving')
+    slow = [name for name in record.members if view.engines[name].is_slow]
+    if slow and len(_fast_spares(view, record)) >= len(slow):
+        return _state.Disband(record.name, f'{slow[0]} is slow')
     if state is _GroupState.READY and (
         now - record.open_sent_at > OPEN_AGAIN_S
     ):
@@ -72,6 +77,15 @@
     return None
 
 
+def _fast_spares(view, record) -> list:
+    """Returns idle engines that could replace slow members at once."""
+    return [
+        engine
+        for engine in _plan.idle_engines(view)
+        if record.model in engine.upstream.staged
+    ]
+
+
 def _watch_joining(view, record, now: float, expected_s):
     """Opens a group whose members are all ready, or gives it up."""
     engines = [view.engines.get(name) for name in record.members]
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -6,6 +6,9 @@
 from plantainway import deployment
 
 
+SLOW_PACE = 2.0  # a group runs at the pace of its slowest member
+
+
 class Contact(enum.Enum):
     """Whether an engine answers the controller."""
 
@@ -18,12 +21,14 @@
 class EngineFacts:
     """An engine as last seen.
 
-    ``silent_since`` is monotonic seconds, ``None`` while it answers.
+    ``silent_since`` is monotonic seconds, ``None`` while it answers;
+    ``pace`` is how many times slower than usual it says it is.
     """
 
     upstream: deployment.Upstream
     contact: Contact = Contact.ANSWERS
     silent_since: float | None = None
+    pace: float = 1.0
 
     @property
     def name(self) -> str:
@@ -43,6 +48,11 @@
             return None
         return (self.upstream.name, member.group, member.epoch)
 
+    @property
+    def is_slow(self) -> bool:
+        """Tells whether a group is better off without it."""
+        return self.pace >= SLOW_PACE
+
     @property
     def is_usable(self) -> bool:
         """Tells whether it may be ordered into a group."""
--- a/plantainway/traffic/_stalls.py
+++ b/plantainway/traffic/_stalls.py
@@ -12,6 +12,7 @@
 SLOW_RATIO = 3.0  # a pause this many times the usual one is a stall
 PASS_UNKNOWN_S = 0.3
 PACE_WEIGHT = 0.1
+STALL_GROWTH = 2.0  # patience after a stall against the silence before it
 SUSPECT_S = 0.6  # a head with a stalled stream gets no new work for so long
 
 
@@ -69,6 +70,29 @@
         pace.progress_at = self._clock.now()
         self._suspects.pop(name, None)
 
+    def note_stall(self, name: str, waited_s: float) -> None:
+        """Notes that a stream was given up after a silence.
+
+        The next one gets more time: a head that is only slow is then not
+        left again and again.
+
+        Args:
+            name: Name of the head.
+            waited_s: Length of the silence.
+        """
+        pace = self._pace(name)
+        pace.gap_s = max(pace.gap_s, waited_s * STALL_GROWTH / SLOW_RATIO)
+        self.suspect(name)
+
+    def forget(self, name: str) -> None:
+        """Forgets a head whose group has changed.
+
+        Args:
+            name: Name of the head.
+        """
+        self._paces.pop(name, None)
+        self._suspects.pop(name, None)
+
     def suspect(self, name: str) -> None:
         """Notes that a stream of a head stalls.
 
@@ -104,14 +128,3 @@
         """
         usual = self._pace(name).gap_s * SLOW_RATIO
         return max(usual, (pass_s or PASS_UNKNOWN_S) * PASS_RATIO)
-
-    def sync(self, names) -> None:
-        """Forgets heads that are gone.
-
-        Args:
-            names: Names that still stand.
-        """
-        for name in self._paces.keys() - names:
-            del self._paces[name]
-        for name in self._suspects.keys() - names:
-            del self._suspects[name]
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -65,6 +65,7 @@
         self._timeout = timeout
         self._may_move = may_move
         self._handle = None
+        self.patience_s = 0.0
 
     def arm(self, patience_s: float) -> None:
         """Starts to wait.
@@ -73,6 +74,7 @@
             patience_s: Longest silence.
         """
         self.disarm()
+        self.patience_s = patience_s
         self._handle = self._loop.call_later(patience_s, self._on_due)
 
     def disarm(self) -> None:
@@ -290,7 +292,7 @@
                 raise
             if reply is None:
                 state.runs += 1
-            parts.stalls.suspect(head.name)
+            parts.stalls.note_stall(head.name, watch.patience_s)
             parts.note_failed(head, 'stalled')
             state.reason = 'stalled'
             return _End.STALLED
--- a/tests/supply/test_repair.py
+++ b/tests/supply/test_repair.py
@@ -18,8 +18,9 @@
         name, 's', '10.0.0.1:1', 'a', 4, False, born=1, membership=member
     )
     contact = changes.pop('contact', _state.Contact.ANSWERS)
+    pace = changes.pop('pace', 1.0)
     return _state.EngineFacts(
-        dataclasses.replace(upstream, **changes), contact
+        dataclasses.replace(upstream, **changes), contact, pace=pace
     )
 
 
@@ -79,6 +80,28 @@
     assert _texts(_decide(engines)) == expected
 
 
+def _spare(model, pace=1.0):
+    return _engine('e9', 0, membership=None, staged=(model,), pace=pace)
+
+
+@pytest.mark.parametrize(
+    'member_pace, spares, expected',
+    [
+        (12.0, [_spare('m0')], ['disband e1 is slow']),
+        (12.0, [], []),
+        (12.0, [_spare('m1')], []),
+        (12.0, [_spare('m0', pace=12.0)], []),
+        (1.3, [_spare('m0')], []),
+    ],
+)
+def test_slow_member_gives_way_to_a_staged_spare(
+    member_pace, spares, expected
+):
+    """A slow group is given up only for one that is faster at once."""
+    slow = _engine('e1', 1, State.READY, pace=member_pace)
+    assert _texts(_decide([HEAD, slow, *spares])) == expected
+
+
 @pytest.mark.parametrize(
     'engines, since, expected',
     [
--- a/tests/traffic/test_books.py
+++ b/tests/traffic/test_books.py
@@ -176,6 +176,19 @@
     assert stalls.gap_patience_s('h', 0.3) > 1.0
 
 
+def test_slow_head_is_not_left_again_and_again(clock):
+    """Each stall lets the next stream wait longer, until the group changes."""
+    stalls = traffic.StallBook(clock)
+    first = stalls.gap_patience_s('h', 0.3)
+    stalls.note_stall('h', first)
+    second = stalls.gap_patience_s('h', 0.3)
+    assert second == pytest.approx(2 * first)
+    assert stalls.is_suspect('h')
+    stalls.forget('h')
+    assert stalls.gap_patience_s('h', 0.3) == pytest.approx(first)
+    assert not stalls.is_suspect('h')
+
+
 def test_progress_ends_suspicion(clock):
     """A suspected head that moves is trusted again at once."""
     stalls = traffic.StallBook(clock)
