Tell nodes of groups that are given up; a head that says 421 is closed

Ruled out: the change of leader alone (the leader was up at 18 s). Change: the leader's digest names the epochs of groups given up; a head that answers 421 is left out until its membership changes; no planning on entries over 1.2 s old; only served requests count as freed places; patience with first events grows with each stall, too.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -54,6 +54,7 @@
         self._work: dict[str, float] = {}
         self._work_by_node: dict[str, dict[str, float]] = {}
         self.on_beat = []
+        self.closed = dict  # set by the node: epochs of groups given up
         for follower in followers:
             follower.on_change.append(self._poke)
 
@@ -202,6 +203,7 @@
             nodes=self.nodes(),
             loads=self.loads(),
             suspects=self.suspects(),
+            closed=self.closed(),
             tables=[self._news(item, link) for item in self._followers],
         )
 
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -65,8 +65,9 @@
     """What the leader tells a node.
 
     ``loads`` are the requests of all nodes in progress by upstream,
-    ``suspects`` the heads that should get no new work. ``lease_version`` is
-    the version of the lease row that the leader wrote last.
+    ``suspects`` the heads that should get no new work, ``closed`` the epochs
+    of groups that the leader has given up, by head. ``lease_version`` is the
+    version of the lease row that the leader wrote last.
     """
 
     leader: str
@@ -74,6 +75,7 @@
     nodes: list[NodeInfo]
     loads: dict[str, int]
     suspects: list[str]
+    closed: dict[str, int]
     tables: list[TableNews]
 
 
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -95,6 +95,7 @@
         self._hub = cluster.Hub(
             cfg.node, self._leadership, followers, self._beat, clock
         )
+        self._hub.closed = self._given_up
         self._hub.on_beat.append(self._take_beat)
         self._link = cluster.HubClient(followers, self._beat, clock)
         self._link.on_digest.append(self._take_digest)
@@ -259,6 +260,7 @@
                     self._spawn,
                     lambda: self._upstream_rows.current_as_of,
                 )
+                controller.on_given_up.append(self._tell_given_up)
                 self._controllers[name] = controller
                 self._spawn(controller.run())
             controller.profile = profile
@@ -275,6 +277,12 @@
             if upstream is None:
                 continue
             logs.event('upstream_gone', upstream=key, service=upstream.service)
+            for book in (
+                self._parts.heads,
+                self._parts.health,
+                self._parts.stalls,
+            ):
+                book.forget(key)
             for controller in self._controllers.values():
                 controller.note_removed(upstream)
         decoded = []
@@ -358,9 +366,30 @@
         self._leadership.note_renewal(digest.lease_version)
         self._set_nodes(len(digest.nodes))
         self._take_loads(digest.loads, self._link.sent_loads)
+        self._close_heads(digest.closed)
         for name in digest.suspects:
             self._parts.stalls.suspect(name)
 
+    def _given_up(self) -> dict[str, int]:
+        """Returns the epochs of groups that this leader has given up."""
+        closed: dict[str, int] = {}
+        for controller in self._controllers.values():
+            closed |= controller.given_up()
+        return closed
+
+    def _tell_given_up(self) -> None:
+        self._close_heads(self._given_up())
+        self._hub.poke()
+
+    def _close_heads(self, closed: dict[str, int]) -> None:
+        """Sends no new work to heads of groups that are given up."""
+        for name, epoch in closed.items():
+            head = self._book.by_name.get(name)
+            if head is not None and (
+                head.membership is not None and head.membership.epoch == epoch
+            ):
+                self._parts.heads.note_closed(head)
+
     def _set_nodes(self, count: int) -> None:
         """Deals the retry budget out among the nodes.
 
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -19,6 +19,8 @@
 LOADS_PER_S_PART = 0.8  # of the weight store's rate
 LOAD_TIME_RATIO = 1.6  # loads take longer when several run at once
 JOIN_S = 0.2
+TOLD_S = 8.0  # entries of dead heads have lapsed by then
+STALE_S = 1.2  # the leader's readings are half as old while the store answers
 SETTLE_S = 0.5  # an open head shows in its entry within so long
 REGISTERING_S = 1.0  # engines of one start register closer together
 START_LOAD_S = 12.0  # longest load before the first request
@@ -65,6 +67,8 @@
         self._releases = _releases.ReleaseBook()
         self._groups: dict[str, _state.GroupRecord] = {}
         self._staging: dict[str, str] = {}
+        self._given_up: dict[str, tuple[int, float]] = {}
+        self.on_given_up = []
         self._epochs = 0
         self._term = 0
         self._load_starts: list[float] = []
@@ -89,6 +93,19 @@
             self.traffic_seen = True
         self._demand.note(totals)
 
+    def given_up(self) -> dict[str, int]:
+        """Returns the epochs of groups given up of late, by head.
+
+        The entry of a head that is dead shows it open until it lapses.
+        """
+        now = self._clock.now()
+        self._given_up = {
+            head: (epoch, until)
+            for head, (epoch, until) in self._given_up.items()
+            if until > now
+        }
+        return {head: epoch for head, (epoch, _at) in self._given_up.items()}
+
     def suspect(self, head: str) -> None:
         """Probes the members of a head's group at once.
 
@@ -120,6 +137,8 @@
             self._leads_since = None
             return
         now = self._clock.now()
+        if now - self._current_as_of() > STALE_S:
+            return  # entries no longer show what orders do
         if not self._begin_term(now):
             return
         facts = self._contacts.facts()
@@ -339,6 +358,11 @@
     def _disband(self, action, facts) -> None:
         record = self._groups.pop(action.group)
         self._log(action, record)
+        if record.opened and record.members[0]:
+            until = self._clock.now() + TOLD_S
+            self._given_up[record.members[0]] = (record.epoch, until)
+            for listener in self.on_given_up:
+                listener()
         for name in record.members:
             fact = facts.get(name)
             if fact is None or fact.contact is not _state.Contact.ANSWERS:
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -46,6 +46,7 @@
         self._rng = rng
         self._turn = rng.randrange(1 << 16)
         self._full_until: dict[str, float] = {}
+        self._closed: dict[str, deployment.Membership] = {}
         self._lines: dict[tuple[str, str], _queue.WaitingLine] = {}
 
     def candidates(self, service: str, model: str, excluded=()) -> list:
@@ -60,6 +61,7 @@
             item
             for item in self._upstreams.open_heads(service, model)
             if item.name not in excluded
+            and self._closed.get(item.name) != item.membership
         ]
         heads = self._health.usable(heads)
         moving = [
@@ -92,6 +94,25 @@
     def _is_full(self, name: str) -> bool:
         return self._full_until.get(name, 0.0) > self._clock.now()
 
+    def note_closed(self, head) -> None:
+        """Notes that an engine no longer serves as the head it shows.
+
+        Its entry may say otherwise for as long as the store is away.
+
+        Args:
+            head: The engine as its entry shows it.
+        """
+        self._closed[head.name] = head.membership
+
+    def forget(self, name: str) -> None:
+        """Forgets an engine that is gone.
+
+        Args:
+            name: Name of the engine.
+        """
+        self._closed.pop(name, None)
+        self._full_until.pop(name, None)
+
     def note_full(self, place: Place) -> None:
         """Notes that a head had no room, and looks again a little later.
 
@@ -172,15 +193,18 @@
             if place is None and _has_place(fut):
                 self.release(fut.result())
 
-    def release(self, place: Place) -> None:
+    def release(self, place: Place, served: bool = False) -> None:
         """Gives a place back.
 
         Args:
             place: The place.
+            served: Whether a request was served at it; the rate at which
+                places become free is that of requests served.
         """
         self._loads.ended(place.head.name)
         line = self._line(place.service, place.model)
-        line.note_freed()
+        if served:
+            line.note_freed()
         self._pump(place.service, place.model, line)
 
     def pump(self) -> None:
--- a/plantainway/traffic/_health.py
+++ b/plantainway/traffic/_health.py
@@ -79,6 +79,14 @@
         record.in_row = FAILURES_IN_ROW - 1  # the next failure ejects again
         return True
 
+    def forget(self, name: str) -> None:
+        """Forgets an upstream that is gone.
+
+        Args:
+            name: Name of the upstream.
+        """
+        self._records.pop(name, None)
+
     def is_ejected(self, name: str) -> bool:
         """Tells whether an upstream is left out now.
 
--- a/plantainway/traffic/_stalls.py
+++ b/plantainway/traffic/_stalls.py
@@ -81,7 +81,9 @@
             waited_s: Length of the silence.
         """
         pace = self._pace(name)
-        pace.gap_s = max(pace.gap_s, waited_s * STALL_GROWTH / SLOW_RATIO)
+        longer = waited_s * STALL_GROWTH / SLOW_RATIO
+        pace.gap_s = max(pace.gap_s, longer)
+        pace.first_s = max(pace.first_s, longer)
         self.suspect(name)
 
     def forget(self, name: str) -> None:
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -273,6 +273,7 @@
             after_event=state.after_event,
         )
         watch = None
+        end = _End.BROKEN
         try:
             async with asyncio.timeout(None) as stall:
                 watch = _StallWatch(
@@ -284,9 +285,10 @@
                     watch.disarm()
                     return await self._failed(state, place, reply)
                 state.runs += 1
-                return await self._forward(
+                end = await self._forward(
                     state, head, reply, sink, watch, sent_at
                 )
+                return end
         except TimeoutError:
             if not stall.expired():
                 raise
@@ -305,7 +307,7 @@
         finally:
             if watch is not None:
                 watch.disarm()
-            parts.heads.release(place)
+            parts.heads.release(place, served=end is _End.DONE)
             if reply is not None:
                 reply.close()
 
@@ -326,7 +328,7 @@
         state.reason = f'status {reply.status}'
         if reply.not_run:
             if reply.misdirected:
-                parts.note_failed(head, 'misdirected', certain=True)
+                parts.heads.note_closed(head)
             elif reply.at_fault:
                 parts.note_failed(head, f'lost {reply.at_fault}', certain=True)
             else:
