--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -4,25 +4,22 @@
 import contextlib
 import functools
 import random
-import signal
 import time
 import uuid
 
-import aiomisc
-
 from plantainway import clock as clocks
 from plantainway import cluster
-from plantainway import deployment
 from plantainway.edge import _election
 from plantainway.edge import _feeds
+from plantainway.edge import _fleet
+from plantainway.edge import _gossip
 from plantainway.edge import _metrics
+from plantainway.edge import _view
 from plantainway import errors
 from plantainway import logs
 from plantainway import platform
-from plantainway import supply
 from plantainway import traffic
 
-SUSPECT_S = 1.0  # how long a suspicion is told to the leader
 STILL_ASKED_S = 0.5  # on top of the longest time that clients keep an answer
 KEPT_TIMES = 3.0  # some clients keep an answer of the directory so long
 STOP_MARGIN_S = 0.3
@@ -43,11 +40,6 @@
         self._rng = rng or random.Random()
         self._tasks: set[asyncio.Task] = set()
         self._leaving = False
-        self._fewer_nodes_at = 0.0
-        self._suspects: dict[str, float] = {}
-        self._work: dict[str, float] = {}
-        self._controllers: dict[str, supply.GroupController] = {}
-        self._configuration: deployment.Configuration | None = None
         self.addresses: dict[str, str] = {}
 
     async def start(self) -> None:
@@ -81,71 +73,98 @@
         self._fresh = platform.new_session(fresh=True)
         self._store = platform.PlatformStore(cfg.store, self._kept)
         self._client = platform.RunnerClient(self._kept, self._fresh, clock)
-        self._book = deployment.UpstreamBook()
-        self._config_rows = cluster.Follower(platform.CONFIG_TABLE, clock)
-        self._upstream_rows = cluster.Follower(
-            platform.UPSTREAM_TABLE, clock, keeps_lapsed=True
-        )
-        followers = [self._config_rows, self._upstream_rows]
-        self._config_rows.on_change.append(self._take_configuration)
-        self._upstream_rows.on_change.append(self._take_upstreams)
-        self._leadership = cluster.Leadership(
-            cfg.node, uuid.uuid4().hex[:8], self._store, clock
+        self._view = _view.PlatformView(clock)
+        self._parts = self._traffic_parts()
+        self._gossip = _gossip.Gossip(
+            self._view,
+            self._parts,
+            self._info,
+            clock,
+            cfg.bounds.retry_window_s,
         )
-        self._hub = cluster.Hub(
-            cfg.node, self._leadership, followers, self._beat, clock
+        self._parts.on_asked = self._gossip.note_asked
+        self._gateway = traffic.Gateway(self._parts, self._rng)
+        self._make_cluster()
+        self._fleet = _fleet.Fleet(
+            self._view, self._client, self._leadership, clock, self._spawn
         )
-        self._hub.closed = self._given_up
-        self._hub.on_beat.append(self._take_beat)
-        self._link = cluster.HubClient(followers, self._beat, clock)
-        self._link.on_digest.append(self._take_digest)
-        self._election = _election.ElectionTask(
-            self._leadership,
-            self._hub,
-            self._link,
-            clock,
-            self._rng,
-            self._spawn,
+        self._connect()
+        self._ingress = platform.Ingress(self._gateway, clock)
+        self._directory = platform.Directory(
+            self._addresses_for, cfg.bounds.directory_ttl_s
         )
-        self._election.on_renewed.append(
-            lambda: self._set_nodes(len(self._hub.nodes()))
+        self._readiness = platform.Readiness(
+            self.is_ready,
+            functools.partial(_metrics.exposition, self),
+            self.dump,
         )
-        self._feeds = [
-            _feeds.FeedTask(item, self._store, self._leadership.leads, clock)
-            for item in followers
-        ]
+
+    def _traffic_parts(self) -> traffic.Parts:
+        bounds, clock, book = self.cfg.bounds, self._clock, self._view.book
         health = traffic.HealthBook(clock)
         stalls = traffic.StallBook(clock)
         loads = traffic.LoadBook()
-        self._parts = traffic.Parts(
+        return traffic.Parts(
             clock=clock,
-            upstreams=self._book,
+            upstreams=book,
             client=self._client,
             health=health,
             loads=loads,
             stalls=stalls,
             heads=traffic.HeadPool(
-                self._book, health, stalls, loads, clock, self._rng
+                book, health, stalls, loads, clock, self._rng
             ),
             budget=traffic.RetryBudget(
                 clock,
-                cfg.bounds.retry_ratio,
-                cfg.bounds.retry_slack,
-                cfg.bounds.retry_window_s,
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_s,
             ),
             outcomes=traffic.OutcomeBook(clock),
             on_failure=self._note_failure,
-            on_asked=self._note_asked,
         )
-        self._gateway = traffic.Gateway(self._parts, self._rng)
-        self._ingress = platform.Ingress(self._gateway, clock)
-        self._directory = platform.Directory(
-            self._addresses_for, cfg.bounds.directory_ttl_s
+
+    def _make_cluster(self) -> None:
+        cfg, clock, view = self.cfg, self._clock, self._view
+        self._leadership = cluster.Leadership(
+            cfg.node, uuid.uuid4().hex[:8], self._store, clock
         )
-        self._readiness = platform.Readiness(
-            self.is_ready,
-            functools.partial(_metrics.exposition, self),
-            self.dump,
+        self._hub = cluster.Hub(
+            cfg.node,
+            self._leadership,
+            view.followers,
+            self._gossip.beat,
+            clock,
+        )
+        self._link = cluster.HubClient(
+            view.followers, self._gossip.beat, clock
+        )
+        self._election = _election.ElectionTask(
+            self._leadership,
+            self._hub,
+            self._link,
+            clock,
+            self._rng,
+            self._spawn,
+        )
+        self._feeds = [
+            _feeds.FeedTask(item, self._store, self._leadership.leads, clock)
+            for item in view.followers
+        ]
+
+    def _connect(self) -> None:
+        """Lets the parts hear of one another's changes."""
+        parts, view = self._parts, self._view
+        view.on_configuration.append(self._gateway.configure)
+        view.on_upstreams.append(parts.heads.pump)
+        view.on_regrouped.append(parts.stalls.forget)
+        view.on_gone.append(parts.forget)
+        self._fleet.on_given_up.append(self._tell_given_up)
+        self._hub.closed = self._fleet.given_up
+        self._hub.on_beat.append(self._take_beat)
+        self._link.on_digest.append(self._take_digest)
+        self._election.on_renewed.append(
+            lambda: self._gossip.set_nodes(len(self._hub.nodes()))
         )
 
     def _spawn(self, coroutine) -> asyncio.Task:
@@ -166,11 +185,7 @@
 
     def is_ready(self) -> bool:
         """Tells whether the node takes requests."""
-        return (
-            not self._leaving
-            and self._configuration is not None
-            and self._upstream_rows.is_loaded
-        )
+        return not self._leaving and self._view.is_complete
 
     def open_heads(self, service: str, model: str) -> int:
         """Returns how many groups are known to serve a model.
@@ -179,7 +194,7 @@
             service: Name of the service.
             model: Name of the model.
         """
-        return len(self._book.open_heads(service, model))
+        return len(self._view.book.open_heads(service, model))
 
     def table_version(self, table: str) -> int:
         """Returns the version up to which a table of the store is known.
@@ -189,7 +204,7 @@
         """
         return next(
             item.version
-            for item in (self._config_rows, self._upstream_rows)
+            for item in self._view.followers
             if item.table == table
         )
 
@@ -202,20 +217,6 @@
             self.is_ready(),
         )
 
-    def _beat(self) -> cluster.Beat:
-        now = self._clock.now()
-        self._suspects = {
-            name: until
-            for name, until in self._suspects.items()
-            if until > now
-        }
-        return cluster.Beat(
-            self._info(),
-            dict(self._parts.loads.own),
-            list(self._suspects),
-            dict(self._work),
-        )
-
     def _nodes(self):
         """Returns the nodes known, this one as it is now."""
         if self._leadership.leads():
@@ -228,98 +229,6 @@
     def _addresses_for(self, _region: str, zone: str) -> list[str]:
         return cluster.choose_addresses(self._nodes(), zone)
 
-    def _take_configuration(self, _changed, _removed) -> None:
-        row = self._config_rows.rows.get(platform.CONFIG_KEY)
-        if row is None:
-            return
-        try:
-            cfg = platform.decode_configuration(row.value)
-        except errors.WireError as exc:
-            logs.event(
-                'configuration_invalid',
-                'ERROR',
-                row_version=row.version,
-                reason=exc.message,
-            )
-            return
-        known = self._configuration
-        if known is not None and cfg.version <= known.version:
-            return
-        self._configuration = cfg
-        self._gateway.configure(cfg)
-        self._parts.heads.pump()
-        for name, profile in cfg.engines.items():
-            controller = self._controllers.get(name)
-            if controller is None:
-                controller = supply.GroupController(
-                    name,
-                    self._book,
-                    self._client,
-                    self._leadership,
-                    self._clock,
-                    self._spawn,
-                    lambda: self._upstream_rows.current_as_of,
-                )
-                controller.on_given_up.append(self._tell_given_up)
-                self._controllers[name] = controller
-                self._spawn(controller.run())
-            controller.profile = profile
-        logs.event(
-            'configuration_in_force',
-            version=cfg.version,
-            row_version=row.version,
-            services=len(cfg.services),
-        )
-
-    def _take_upstreams(self, changed, removed) -> None:
-        for key in removed:
-            upstream = self._book.by_name.get(key)
-            if upstream is None:
-                continue
-            logs.event('upstream_gone', upstream=key, service=upstream.service)
-            for book in (
-                self._parts.heads,
-                self._parts.health,
-                self._parts.stalls,
-            ):
-                book.forget(key)
-            for controller in self._controllers.values():
-                controller.note_removed(upstream)
-        decoded = []
-        unreadable = []
-        for row in changed:
-            upstream = platform.decode_upstream(row.key, row.value)
-            if upstream is None:
-                unreadable.append(row.key)
-                continue
-            decoded.append(upstream)
-            known = self._book.by_name.get(upstream.name)
-            if known is None or known.membership != upstream.membership:
-                self._parts.stalls.forget(upstream.name)
-            self._log_upstream(upstream, row.version)
-        self._book.apply(
-            decoded, [*removed, *unreadable], self._upstream_rows.version
-        )
-        self._parts.heads.pump()
-
-    def _log_upstream(self, upstream, version: int) -> None:
-        known = self._book.by_name.get(upstream.name)
-        if known == upstream:
-            return
-        member = upstream.membership
-        logs.event(
-            'upstream_seen',
-            'DEBUG' if known is not None else 'INFO',
-            upstream=upstream.name,
-            version=version,
-            draining=upstream.draining,
-            domain=upstream.domain,
-            staged=','.join(upstream.staged),
-            group=member.group if member else '',
-            rank=member.rank if member else '',
-            state=member.state.value if member else '',
-        )
-
     def _note_failure(self, upstream, reason: str, ejected: bool) -> None:
         logs.event(
             'upstream_failed',
@@ -329,89 +238,25 @@
         )
         if not upstream.membership:
             return
-        self._suspects[upstream.name] = self._clock.now() + SUSPECT_S
+        self._gossip.suspect(upstream.name)
         if self._leadership.leads():
-            self._suspect_at_controllers([upstream.name])
+            self._fleet.suspect([upstream.name])
         else:
             self._link.poke()
 
-    def _note_asked(self, service: str, req, engine) -> None:
-        """Adds a stream to the work that was asked of a model so far."""
-        answer = req.length_hint or engine.usual_answer
-        work_s = engine.work_s(req.model, req.prompt_tokens, answer)
-        key = f'{service}/{req.model}'
-        self._work[key] = self._work.get(key, 0.0) + work_s
-
-    def _take_work(self, work: dict[str, float]) -> None:
-        for name, controller in self._controllers.items():
-            controller.note_work(
-                {
-                    key.rpartition('/')[2]: total
-                    for key, total in work.items()
-                    if key.rpartition('/')[0] == name
-                }
-            )
-
-    def _suspect_at_controllers(self, names) -> None:
-        for controller in self._controllers.values():
-            for name in names:
-                controller.suspect(name)
-
     def _take_beat(self, beat) -> None:
-        self._take_work(self._hub.work())
-        self._suspect_at_controllers(beat.suspects)
-        self._take_loads(self._hub.loads(), self._parts.loads.own)
+        self._fleet.note_work(self._hub.work())
+        self._fleet.suspect(beat.suspects)
+        self._gossip.take_loads(self._hub.loads(), self._parts.loads.own)
 
     def _take_digest(self, digest) -> None:
         self._leadership.note_renewal(digest.lease_version)
-        self._set_nodes(len(digest.nodes))
-        self._take_loads(digest.loads, self._link.sent_loads)
-        self._close_heads(digest.closed)
-        for name in digest.suspects:
-            self._parts.stalls.suspect(name)
-
-    def _given_up(self) -> dict[str, int]:
-        """Returns the epochs of groups that this leader has given up."""
-        closed: dict[str, int] = {}
-        for controller in self._controllers.values():
-            closed |= controller.given_up()
-        return closed
+        self._gossip.take_digest(digest, self._link.sent_loads)
 
     def _tell_given_up(self) -> None:
-        self._close_heads(self._given_up())
+        self._gossip.close_heads(self._fleet.given_up())
         self._hub.poke()
 
-    def _close_heads(self, closed: dict[str, int]) -> None:
-        """Sends no new work to heads of groups that are given up."""
-        for name, epoch in closed.items():
-            head = self._book.by_name.get(name)
-            if head is not None and (
-                head.membership is not None and head.membership.epoch == epoch
-            ):
-                self._parts.heads.note_closed(head)
-
-    def _set_nodes(self, count: int) -> None:
-        """Deals the retry budget out among the nodes.
-
-        Nodes that are missed now have spent their part of the window, so
-        the number falls only slowly.
-        """
-        budget = self._parts.budget
-        now = self._clock.now()
-        if count >= budget.nodes or now >= self._fewer_nodes_at:
-            budget.nodes = max(count, 1)
-            self._fewer_nodes_at = now + self.cfg.bounds.retry_window_s
-
-    def _take_loads(self, totals, own) -> None:
-        """Takes in what other nodes have in progress."""
-        self._parts.loads.set_others(
-            {
-                name: max(count - own.get(name, 0), 0)
-                for name, count in totals.items()
-            }
-        )
-        self._parts.heads.pump()
-
     async def stop(self) -> None:
         """Leaves: no new clients, all requests in progress ended."""
         if self._leaving:
@@ -460,7 +305,7 @@
 
     def dump(self) -> dict:
         """Returns the state of all tasks."""
-        cfg = self._configuration
+        cfg = self._view.configuration
         return {
             'node': self.cfg.node,
             'wall': time.time(),
@@ -468,10 +313,10 @@
             'leads': self._leadership.leads(),
             'term': self._leadership.term,
             'configuration': cfg.version if cfg else 0,
-            'upstreams': len(self._book.by_name),
+            'upstreams': len(self._view.book.by_name),
             'ages_s': {
                 item.table: round(item.age_s(), 3)
-                for item in (self._config_rows, self._upstream_rows)
+                for item in self._view.followers
                 if item.is_loaded
             },
             'in_progress': self._gateway.in_progress,
@@ -479,53 +324,10 @@
             'queues': self._parts.heads.dump(),
             'nodes': [item.node for item in self._nodes()],
             'store_calls': self._store.calls,
-            'groups': {
-                name: item.dump() for name, item in self._controllers.items()
-            },
+            'groups': self._fleet.dump(),
         }
 
     @property
     def outcomes(self) -> traffic.OutcomeBook:
         """Returns the counters of how requests ended."""
         return self._parts.outcomes
-
-
-class EdgeService(aiomisc.Service):
-    """Runs a node under an aiomisc entrypoint.
-
-    Args:
-        cfg: Settings.
-    """
-
-    def __init__(self, cfg, **kwargs):
-        super().__init__(**kwargs)
-        self._cfg = cfg
-        self.node: EdgeNode | None = None
-
-    async def start(self) -> None:
-        """Starts the node."""
-        self.node = EdgeNode(self._cfg)
-        await self.node.start()
-        loop = asyncio.get_running_loop()
-        # Settings that changed take effect at the next start.
-        loop.add_signal_handler(
-            signal.SIGHUP, logs.event, 'settings_changed', 'INFO'
-        )
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stops the node as planned."""
-        await self.node.stop()
-
-
-def run(cfg) -> None:
-    """Runs a node until SIGTERM or SIGINT, then lets it leave.
-
-    Args:
-        cfg: Settings.
-    """
-    with aiomisc.entrypoint(
-        EdgeService(cfg),
-        log_config=False,
-        shutdown_timeout=cfg.bounds.stop_s,
-    ) as loop:
-        loop.run_forever()
--- /dev/null
+++ b/plantainway/edge/_service.py
@@ -0,0 +1,50 @@
+"""Runs a node until the platform stops it."""
+
+import asyncio
+import signal
+
+import aiomisc
+
+from plantainway.edge import _node
+from plantainway import logs
+
+
+class EdgeService(aiomisc.Service):
+    """Runs a node under an aiomisc entrypoint.
+
+    Args:
+        cfg: Settings.
+    """
+
+    def __init__(self, cfg, **kwargs):
+        super().__init__(**kwargs)
+        self._cfg = cfg
+        self.node: _node.EdgeNode | None = None
+
+    async def start(self) -> None:
+        """Starts the node."""
+        self.node = _node.EdgeNode(self._cfg)
+        await self.node.start()
+        loop = asyncio.get_running_loop()
+        # Settings that changed take effect at the next start.
+        loop.add_signal_handler(
+            signal.SIGHUP, logs.event, 'settings_changed', 'INFO'
+        )
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops the node as planned."""
+        await self.node.stop()
+
+
+def run(cfg) -> None:
+    """Runs a node until SIGTERM or SIGINT, then lets it leave.
+
+    Args:
+        cfg: Settings.
+    """
+    with aiomisc.entrypoint(
+        EdgeService(cfg),
+        log_config=False,
+        shutdown_timeout=cfg.bounds.stop_s,
+    ) as loop:
+        loop.run_forever()
--- a/plantainway/platform/_names.py
+++ b/plantainway/platform/_names.py
@@ -1,6 +1,7 @@
 """Header names, paths and words of the users' platform."""
 
 ACCOUNT = 'Tenant'
+AT_FAULT = 'At-Server'
 DEADLINE = 'Deadline-Ms'
 EXPECT_UPSTREAM = 'Expect-Instance'
 KEY = 'Credential'
@@ -8,7 +9,6 @@
 LENGTH_HINT = 'Length-Hint'
 MODEL = 'Model'
 NOT_RUN = 'Not-Executed'
-PREFIX = 'Prefix-Hash'
 PRIORITY = 'Request-Priority'
 REQUEST_ID = 'Request-Id'
 RETRY_AFTER = 'Retry-After'
@@ -19,7 +19,6 @@
 CONFIG_KEY = 'config'
 UPSTREAM_TABLE = 'servers'
 
-BLOB_PATHS = '/plantainway/blob-'
 FEED_PATH = '/plantainway/rows-feed'
 GET_PATH = '/plantainway/rows-get'
 ORDER_PATH = '/plantainway/order'
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -93,7 +93,7 @@
         self.misdirected = resp.status == MISDIRECTED
         self.not_run = self.misdirected or _names.NOT_RUN in headers
         self.signed = _names.SIGNATURE in headers
-        self.at_fault = headers.get('At-Server', '')
+        self.at_fault = headers.get(_names.AT_FAULT, '')
         self._framed = (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -8,6 +8,7 @@
 from plantainway.supply import _contacts
 from plantainway.supply import _demand
 from plantainway.supply import _orders
+from plantainway.supply import _pacing
 from plantainway.supply import _plan
 from plantainway.supply import _releases
 from plantainway.supply import _repair
@@ -15,15 +16,10 @@
 
 EPOCHS_PER_TERM = 100000  # epochs that one term may use
 TICK_S = 0.1
-STARTING_LOADS_MAX = 8  # more at once don't end sooner
-LOADS_PER_S_PART = 0.8  # of the weight store's rate
-LOAD_TIME_RATIO = 1.6  # loads take longer when several run at once
-JOIN_S = 0.2
 TOLD_S = 8.0  # entries of dead heads have lapsed by then
 STALE_S = 1.2  # the leader's readings are half as old while the store answers
 SETTLE_S = 0.5  # an open head shows in its entry within so long
 REGISTERING_S = 1.0  # engines of one start register closer together
-START_LOAD_S = 12.0  # longest load before the first request
 NO_DOMAIN = ''  # of groups whose members are all gone
 
 _Kind = _orders.OrderKind
@@ -60,7 +56,6 @@
         self._spawn = spawn
         self._current_as_of = current_as_of
         self._leads_since: float | None = None
-        self.profile: deployment.EngineProfile | None = None
         self._contacts = _contacts.ContactBook(
             service, upstreams, client, clock, spawn
         )
@@ -71,9 +66,21 @@
         self.on_given_up = []
         self._epochs = 0
         self._term = 0
-        self._load_starts: list[float] = []
+        self._pacer = _pacing.LoadPacer(self._contacts.find)
         self._demand = _demand.DemandMeter(clock)
-        self.traffic_seen = False
+
+    @property
+    def profile(self) -> deployment.EngineProfile | None:
+        """Returns the engine profile in force."""
+        return self._pacer.profile
+
+    def configure(self, profile: deployment.EngineProfile) -> None:
+        """Puts an engine profile in force.
+
+        Args:
+            profile: The profile.
+        """
+        self._pacer.profile = profile
 
     def note_removed(self, upstream: deployment.Upstream) -> None:
         """Notes that an entry is gone; the engine may still work.
@@ -90,7 +97,7 @@
             totals: Seconds of a group by model.
         """
         if any(totals.values()):
-            self.traffic_seen = True
+            self._pacer.traffic_seen = True
         self._demand.note(totals)
 
     def given_up(self) -> dict[str, int]:
@@ -171,7 +178,7 @@
 
     def _repair(self, facts, now: float) -> None:
         for view in self._views(facts):
-            for action in _repair.repair(view, now, self._expected_s):
+            for action in _repair.repair(view, now, self._pacer.expected_s):
                 self._apply(action, facts, now)
         groups = list(self._groups.values())
         for order in self._releases.follow(facts, groups, now):
@@ -183,22 +190,26 @@
             views,
             self.profile,
             self._counts(views),
-            self._loads_free(facts, now),
-            not self.traffic_seen,
+            self._pacer.loads_free(
+                facts, self._groups, len(self._staging), now
+            ),
+            not self._pacer.traffic_seen,
         ):
             self._apply(action, facts, now)
 
     def _stage_spares(self, facts, now: float) -> None:
         complete_at = self._contacts.joined_at + REGISTERING_S
-        if not self.traffic_seen and now < complete_at:
+        if not self._pacer.traffic_seen and now < complete_at:
             return  # engines of the domains are still missing
         views = self._views(facts)
         for action in _plan.stage_spares(
             views,
             self.profile,
             self._counts(views),
-            self._loads_free(facts, now),
-            not self.traffic_seen,
+            self._pacer.loads_free(
+                facts, self._groups, len(self._staging), now
+            ),
+            not self._pacer.traffic_seen,
         ):
             self._apply(action, facts, now)
 
@@ -248,38 +259,6 @@
         )
         return _plan.Counts(have, wanted)
 
-    def _loads_free(self, facts, now: float) -> int:
-        loading = len(self._staging)
-        for record in self._groups.values():
-            if not record.opened:
-                loading += sum(
-                    1
-                    for name in record.members
-                    if name in facts
-                    and record.model not in facts[name].upstream.staged
-                )
-        free = max(STARTING_LOADS_MAX - loading, 0)
-        if not self.traffic_seen:
-            return free
-        self._load_starts = [at for at in self._load_starts if now - at < 1.0]
-        rate = int(self.profile.loads_per_s * LOADS_PER_S_PART)
-        return min(free, max(rate - len(self._load_starts), 0))
-
-    def _expected_s(self, record) -> float:
-        model = self.profile.model(record.model)
-        if model is None:
-            return JOIN_S
-        staged = all(
-            (found := self._contacts.find(name)) is not None
-            and record.model in found.staged
-            for name in record.members
-        )
-        if staged:
-            return model.warm_s
-        if not self.traffic_seen:
-            return START_LOAD_S
-        return model.load_s * LOAD_TIME_RATIO
-
     def _apply(self, action, facts, now: float) -> None:
         if isinstance(action, _state.Form):
             self._form(action, facts, now)
@@ -313,7 +292,7 @@
             self._disband(action, facts)
         elif isinstance(action, _state.Stage):
             self._staging[action.upstream] = action.model
-            self._load_starts.append(now)
+            self._pacer.note_start(now)
             logs.event('stage', upstream=action.upstream, model=action.model)
             self._spawn(self._stage(action))
 
@@ -341,7 +320,7 @@
         self._groups[record.name] = record
         for name in action.members:
             if action.model not in facts[name].upstream.staged:
-                self._load_starts.append(now)
+                self._pacer.note_start(now)
         self._log(action, record)
         for name in action.members:
             self._send(
@@ -401,12 +380,7 @@
             await self._order(
                 _orders.Order(_Kind.STAGE, action.upstream, model=action.model)
             )
-            model = self.profile.model(action.model)
-            longest = (
-                model.load_s * LOAD_TIME_RATIO
-                if self.traffic_seen
-                else START_LOAD_S
-            )
+            longest = self._pacer.load_s(action.model)
             deadline = self._clock.now() + longest
             while self._clock.now() < deadline:
                 await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/plantainway/supply/_pacing.py
@@ -0,0 +1,82 @@
+"""How many loads may begin, and how long loads and joins take."""
+
+from plantainway import deployment
+
+STARTING_LOADS_MAX = 8  # more at once don't end sooner
+LOADS_PER_S_PART = 0.8  # of the weight store's rate
+LOAD_TIME_RATIO = 1.6  # loads take longer when several run at once
+START_LOAD_S = 12.0  # longest load before the first request
+JOIN_S = 0.2  # of engines that keep their model
+
+
+class LoadPacer:
+    """Keeps loads within the weight store's rate.
+
+    Args:
+        find: Function from a name to the engine, ``None`` if unknown.
+    """
+
+    def __init__(self, find):
+        self._find = find
+        self._starts: list[float] = []
+        self.profile: deployment.EngineProfile | None = None
+        self.traffic_seen = False
+
+    def note_start(self, now: float) -> None:
+        """Notes that a load begins.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self._starts.append(now)
+
+    def loads_free(self, facts, groups, staging: int, now: float) -> int:
+        """Returns how many loads may begin now.
+
+        Args:
+            facts: Engines by name.
+            groups: Group records by name.
+            staging: Loads onto spares under way.
+            now: Monotonic seconds.
+        """
+        loading = staging
+        for record in groups.values():
+            if not record.opened:
+                loading += sum(
+                    name in facts
+                    and record.model not in facts[name].upstream.staged
+                    for name in record.members
+                )
+        free = max(STARTING_LOADS_MAX - loading, 0)
+        if not self.traffic_seen:
+            return free
+        self._starts = [at for at in self._starts if now - at < 1.0]
+        rate = int(self.profile.loads_per_s * LOADS_PER_S_PART)
+        return min(free, max(rate - len(self._starts), 0))
+
+    def load_s(self, model: str) -> float:
+        """Returns how long a load takes at most.
+
+        Args:
+            model: Name of the model.
+        """
+        if not self.traffic_seen:
+            return START_LOAD_S
+        found = self.profile.model(model)
+        return found.load_s * LOAD_TIME_RATIO if found else START_LOAD_S
+
+    def expected_s(self, record) -> float:
+        """Returns how long the members of a group need to join.
+
+        Args:
+            record: The group.
+        """
+        model = self.profile.model(record.model)
+        if model is None:
+            return JOIN_S
+        staged = all(
+            (found := self._find(name)) is not None
+            and record.model in found.staged
+            for name in record.members
+        )
+        return model.warm_s if staged else self.load_s(record.model)
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -1,11 +1,18 @@
 """Entry of requests: route, account, service, and the end of each."""
 
+import collections.abc
 import dataclasses
 import random
 
+from plantainway import clock as clocks
 from plantainway import deployment
+from plantainway.traffic import _budget
+from plantainway.traffic import _heads
+from plantainway.traffic import _health
+from plantainway.traffic import _loads
 from plantainway.traffic import _outcomes
 from plantainway.traffic import _plain
+from plantainway.traffic import _stalls
 from plantainway.traffic import _stream
 from plantainway.traffic import _types
 
@@ -14,19 +21,33 @@
 
 @dataclasses.dataclass
 class Parts:
-    """What the runners of requests share; each member has one owner."""
+    """What the runners of requests share; each member has one owner.
 
-    clock: object
+    ``on_failure`` is called with an upstream, a reason and whether it is
+    left out now; ``on_asked`` with a service, a stream's request and the
+    profile of the service's engines.
+    """
+
+    clock: clocks.BaseClock
     upstreams: deployment.UpstreamBook
     client: _types.BaseUpstreamClient
-    health: object
-    loads: object
-    stalls: object
-    heads: object
-    budget: object
+    health: _health.HealthBook
+    loads: _loads.LoadBook
+    stalls: _stalls.StallBook
+    heads: _heads.HeadPool
+    budget: _budget.RetryBudget
     outcomes: _outcomes.OutcomeBook
-    on_failure: object = None
-    on_asked: object = None
+    on_failure: collections.abc.Callable | None = None
+    on_asked: collections.abc.Callable | None = None
+
+    def forget(self, upstream: deployment.Upstream) -> None:
+        """Forgets an upstream that is gone.
+
+        Args:
+            upstream: The upstream.
+        """
+        for book in (self.heads, self.health, self.stalls):
+            book.forget(upstream.name)
 
     def note_failed(self, upstream, reason: str, certain=False) -> None:
         """Notes a failure of an upstream.
