--- a/plantainway/cli.py
+++ b/plantainway/cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import pathlib
 import sys
 
 import fire
@@ -10,6 +11,7 @@
 
 from plantainway import client
 from plantainway import errors
+from plantainway import explain as explanations
 from plantainway import keys
 from plantainway import logs
 from plantainway import node as nodes
@@ -58,6 +60,18 @@
     return str(value)
 
 
+def _read_log(name: str) -> list:
+    path = pathlib.Path(name)
+    try:
+        text = path.read_text(encoding='utf-8', errors='replace')
+    except OSError as exc:
+        raise UsageError(str(exc), 'read', name)
+    parsed = (
+        explanations.parse(path.name, line) for line in text.splitlines()
+    )
+    return [line for line in parsed if line is not None]
+
+
 class Commands:
     """Serves language models whose replicas span several VMs.
 
@@ -103,6 +117,26 @@
         _print(f'ok: {len(parsed.by_id)} objects')
         return EXIT_OK
 
+    def explain(self, request, *files):
+        """Puts the log lines that explain one request in order.
+
+        Args:
+            request: Id of the request.
+            files: Logs of the nodes.
+        """
+        if not files:
+            raise UsageError('explain REQUEST-ID LOGFILE...', 'arguments')
+        lines = []
+        for name in files:
+            lines += _read_log(str(name))
+        found = explanations.explain(str(request), lines)
+        if not found:
+            sys.stderr.write(f'no line names request {request}\n')
+            return EXIT_NO
+        for line in found:
+            _print(str(line))
+        return EXIT_OK
+
     def apply(self, *files, operator=None, key=None, dry_run=False):
         """Publishes objects.
 
