Answer 504 for a stream that was sent and reached its deadline

Cause: found by reading: the deadline ended an attempt before its run was counted, so a request that may have run was answered 503, which says that it has not. Ruled out: the same in plain services (their attempts say so). Change: a request that is under way counts as sent; a unit and a reason for constants that had none.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -13,10 +13,10 @@
 from plantainway import logs
 from plantainway import stores
 
-INTERVAL_MIN_S = 0.4
+INTERVAL_MIN_S = 0.4  # loads older than that mislead the choice of heads
 INTERVAL_PER_NODE_S = 0.01  # keeps the leader's work even at many nodes
 NODE_LOST_S = 1.2  # a node that is silent for longer is not named to clients
-LINK_TIMEOUT_S = 1.0
+LINK_TIMEOUT_S = 1.0  # two digests missed
 VOTES_MIN = 2
 NOT_LEADING = 1013  # websocket close code: try again later
 
--- a/plantainway/cluster/_leadership.py
+++ b/plantainway/cluster/_leadership.py
@@ -10,7 +10,7 @@
 LEASE_KEY = 'leader'
 TERM_S = 2.2  # a leader that dies is replaced within about so long
 MARGIN_S = 0.4  # covers the steps between a check and its order
-RENEW_EVERY_S = 0.8
+RENEW_EVERY_S = 0.8  # one renewal may fail within a term
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -7,7 +7,7 @@
 from plantainway import logs
 
 TICK_S = 0.25
-LOOK_EVERY_S = 0.8
+LOOK_EVERY_S = 0.8  # as often as the lease is renewed
 PATIENCE_MAX_S = 0.4  # candidates spread over so long
 
 
--- a/plantainway/edge/_feeds.py
+++ b/plantainway/edge/_feeds.py
@@ -9,8 +9,8 @@
 LEADER_WAIT_S = 0.5  # the leader's polls end at least so often
 LEADER_PAUSE_S = 0.1  # changes that come together are read together
 STALE_S = 1.3  # without news from the leader, ask the store after so long
-MEMBER_PAUSE_S = 0.7
-RETRY_S = 0.3
+MEMBER_PAUSE_S = 0.7  # keeps changes in force within 2 s
+RETRY_S = 0.3  # grows up to RETRY_MAX_S while the store is away
 RETRY_MAX_S = 1.0
 
 
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -22,7 +22,7 @@
 
 STILL_ASKED_S = 0.5  # on top of the longest time that clients keep an answer
 KEPT_TIMES = 3.0  # some clients keep an answer of the directory so long
-STOP_MARGIN_S = 0.3
+STOP_MARGIN_S = 0.3  # to close everything before SIGKILL
 
 
 class EdgeNode:
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -13,7 +13,7 @@
 DEADLINE_DEFAULT_MS = 30000.0  # for a client that names none
 KEEP_IDLE_S = 75.0  # longer than clients keep idle connections
 LINGER_S = 2.0  # unread rest of a body is read for so long
-BACKLOG = 1024
+BACKLOG = 1024  # connections; a full queue drops them for seconds
 _OWN = frozenset(
     name.lower()
     for name in (_names.KEY, _names.DEADLINE, _names.LAST_EVENT, 'Host')
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -17,10 +17,10 @@
 CONNECT_TIMEOUT_S = 0.4  # a connection within the region takes some 5 ms
 IDLE_KEPT_S = 8.0  # upstreams close idle connections after a while
 USER_TIMEOUT_MS = 4000  # unacknowledged bytes for longer: the peer is gone
-ORDER_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 0.8  # an order is accepted within some 10 ms
 REPORT_TIMEOUT_S = 0.25  # a report needs no slot and comes within some 10 ms
-DEADLINE_MARGIN_MS = 5
-MISDIRECTED = 421
+DEADLINE_MARGIN_MS = 5  # for the way back to the client
+MISDIRECTED = 421  # status: another upstream has the address
 AUTO_HEADERS = ('Accept', 'Accept-Encoding', 'User-Agent', 'Content-Type')
 # Headers that the system sets itself, whatever the client sent.
 _REPLACED = frozenset(
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -15,7 +15,7 @@
 from plantainway.supply import _state
 
 EPOCHS_PER_TERM = 100000  # epochs that one term may use
-TICK_S = 0.1
+TICK_S = 0.1  # a repair takes 1.4 s at least
 TOLD_S = 8.0  # entries of dead heads have lapsed by then
 STALE_S = 1.2  # the leader's readings are half as old while the store answers
 SETTLE_S = 0.5  # an open head shows in its entry within so long
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -16,7 +16,7 @@
 from plantainway.traffic import _stream
 from plantainway.traffic import _types
 
-NO_CONFIGURATION_RETRY_S = 0.3
+NO_CONFIGURATION_RETRY_S = 0.3  # a node has read it within some 20 ms
 
 
 @dataclasses.dataclass
--- a/plantainway/traffic/_health.py
+++ b/plantainway/traffic/_health.py
@@ -9,7 +9,7 @@
 FAILURES_IN_ROW = 2
 RATE_WEIGHT = 0.2  # weight of one outcome in the failure rate
 RATE_MAX = 0.5  # an upstream that fails half of its requests is left out
-EJECT_S = 1.0
+EJECT_S = 1.0  # first time; doubles with each further one
 EJECT_MAX_S = 8.0
 FORGET_S = 20.0  # ejections older than this no longer lengthen the next one
 
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -8,7 +8,7 @@
 from plantainway.traffic import _types
 
 SENDS_MAX = 4  # sendings of a request, those that it was not run at included
-REFUSED_RETRY_AFTER_S = 0.3
+REFUSED_RETRY_AFTER_S = 0.3  # some runs of a plain service
 TIMEOUT_STATUS = 504
 BAD_STATUS = 502
 PATIENCE_OF_TARGET = 1.75  # a safe request moves on after so many targets
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -11,11 +11,11 @@
 
 SENDS_MAX = 4  # sendings of a request, those that it was not run at included
 SILENCE_MIN_S = 2.0  # clients give a stream up after this or longer
-SILENCE_TARGETS = 4.0
-SILENCE_PAUSES = 8.0
-UNAVAILABLE_RETRY_S = 0.5
+SILENCE_TARGETS = 4.0  # or after so many targets
+SILENCE_PAUSES = 8.0  # or after so many of the longest pauses
+UNAVAILABLE_RETRY_S = 0.5  # a group of staged engines opens within 2 s
 PRIORITY_RESUMED = 0  # a pause in the middle of a stream counts at once
-PRIORITY_FIRST = 3
+PRIORITY_FIRST = 3  # of the most urgent new stream; engines take 0 to 9
 LOOK_AGAIN_S = 0.1  # at a stalled stream that can't be moved yet
 
 
@@ -49,6 +49,7 @@
     failure: _types.Answer | None = None
     reason: str = ''
     lost_heads: list = dataclasses.field(default_factory=list)
+    is_sent: bool = False  # an attempt is under way and may run
     pass_s: float = 0.0
 
 
@@ -154,7 +155,7 @@
             return None
         if state.failure is not None:
             return state.failure
-        if state.runs == 0:
+        if state.runs == 0 and not state.is_sent:
             return _types.Answer(
                 503, retry_after_s=UNAVAILABLE_RETRY_S, reason=state.reason
             )
@@ -180,7 +181,9 @@
                     )
                 return False
             state.sends += 1
+            state.is_sent = True
             end = await self._attempt(state, place, sink)
+            state.is_sent = False  # a run is counted by now
             if end is _End.DONE:
                 return True
             parts.outcomes.decided(
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -71,6 +71,24 @@
         assert got.body in [runner.body for runner in runners.values()]
 
 
+async def test_stream_at_its_deadline_is_not_called_not_run(
+    node, store, runners, client
+):
+    """A request that was sent and not answered may have run."""
+    for runner in runners.values():
+        runner.faults.answer = 'hang'
+    short = conftest.configuration(version=9)
+    for one in short['routes']:
+        one['timeoutMs'] = 100
+    store.put('op', 'config', short)
+    await conftest.until(
+        lambda: node.dump()['configuration'] == 9, 'version 9'
+    )
+    got = await conftest.ask(client, node, '/stream/x', **STREAM)
+    assert len(_runs(runners, 'e-')) == 1
+    assert got.status == 504
+
+
 async def test_not_run_is_told_with_a_time_to_return(node, runners, client):
     """A request that no runner took gets 503 and Retry-After."""
     for name in ('p-1', 'p-2'):
