Count runs at heads that have only left their group

A run did not count once its head showed another membership; since slow groups are given up, such a head lives on. Ruled out: stalls beyond the allowance (the watch asks the same function). Change: only heads whose life is over do not count.

--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -208,7 +208,7 @@
     def _may_run_again(self, state, uncounted: int = 0) -> bool:
         """Tells whether the route allows one more run.
 
-        Runs at groups that have broken up since do not count.
+        Runs at heads that have ended since do not count.
 
         Args:
             state: State of the answer.
@@ -221,7 +221,7 @@
         lost = 0
         for head in state.lost_heads:
             now = book.by_name.get(head.name)
-            lost += now is None or now.membership != head.membership
+            lost += now is None or now.born != head.born
         return runs - lost < state.route.max_attempts
 
     def _retry_after_s(self, state, exc) -> float:
