--- a/plantainway/edge/_feeds.py
+++ b/plantainway/edge/_feeds.py
@@ -7,6 +7,7 @@
 from plantainway import logs
 
 LEADER_WAIT_S = 0.5  # the leader's polls end at least so often
+TAKEOVER_S = 1.0  # a new leader polls without waiting for so long
 LEADER_PAUSE_S = 0.1  # changes that come together are read together
 STALE_S = 1.3  # without news from the leader, ask the store after so long
 MEMBER_PAUSE_S = 0.7  # keeps changes in force within 2 s
@@ -30,6 +31,8 @@
         self._leads = leads
         self._clock = clock
         self._failures = 0
+        self._led = False
+        self._waits_from = float('-inf')
 
     async def run(self) -> None:
         """Reads the table and then its changes, for ever."""
@@ -55,15 +58,18 @@
                 peer=exc.peer,
             )
         pause = min(RETRY_S * self._failures, RETRY_MAX_S)
+        if self._leads():
+            pause = RETRY_S  # one node asks, and all wait for its answer
         await asyncio.sleep(pause * random.uniform(0.7, 1.3))
 
     async def _step(self) -> None:
         follower = self._follower
         follower.expire()
+        self._led = self._led and self._leads()
         if not follower.is_loaded:
             await self._load()
         elif self._leads():
-            await self._poll(LEADER_WAIT_S)
+            await self._poll(LEADER_WAIT_S if self._may_wait() else 0.0)
             await asyncio.sleep(LEADER_PAUSE_S)
         elif follower.age_s() > STALE_S:
             await self._poll(0.0)
@@ -71,6 +77,17 @@
         else:
             await asyncio.sleep(0.1)
 
+    def _may_wait(self) -> bool:
+        """Tells whether a poll may wait for changes.
+
+        A poll that waits shows the table as it was when it was sent, and a
+        new leader plans nothing until it has seen the table of its own time.
+        """
+        if not self._led:
+            self._waits_from = self._clock.now() + TAKEOVER_S
+        self._led = True
+        return self._clock.now() >= self._waits_from
+
     async def _load(self, force: bool = False) -> None:
         asked_at = self._clock.now()
         try:
--- /dev/null
+++ b/tests/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the parts of a node."""
