--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -13,8 +13,8 @@
 from plantainway import logs
 from plantainway import stores
 
-INTERVAL_MIN_S = 0.4  # loads older than that mislead the choice of heads
-INTERVAL_PER_NODE_S = 0.01  # keeps the leader's work even at many nodes
+INTERVAL_S = 0.4  # loads older than that mislead the choice of heads
+SHARED_S = 0.1  # links that know the same get the same bytes for so long
 NODE_LOST_S = 1.2  # a node that is silent for longer is not named to clients
 LINK_TIMEOUT_S = 1.0  # two digests missed
 VOTES_MIN = 2
@@ -27,9 +27,23 @@
     def __init__(self, conn):
         self.conn = conn
         self.sent: dict[str, int] = {}
+        self.sent_nodes: list[_messages.NodeInfo] | None = None
         self.wake = asyncio.Event()
 
 
+class _Shared:
+    """Digests made for several links within a short time.
+
+    ``until`` is monotonic seconds; ``encoded`` holds the bytes by what the
+    receiver knows already.
+    """
+
+    def __init__(self, until: float, nodes):
+        self.until = until
+        self.nodes = nodes
+        self.encoded: dict[tuple, bytes] = {}
+
+
 class Hub:
     """Serves beats and digests while this node leads.
 
@@ -49,6 +63,7 @@
         self._clock = clock
         self._server = None
         self._links: dict[str, _Link] = {}
+        self._shared: _Shared | None = None
         self._beats: dict[str, tuple[float, _messages.Beat]] = {}
         self._inherited: dict[str, tuple[float, _messages.NodeInfo]] = {}
         self._work: dict[str, float] = {}
@@ -85,6 +100,7 @@
             self._server.close()
 
     def _poke(self, _changed, _removed) -> None:
+        self._shared = None
         for link in self._links.values():
             link.wake.set()
 
@@ -92,10 +108,6 @@
         """Sends digests soon."""
         self._poke((), ())
 
-    def interval_s(self) -> float:
-        """Returns the seconds between two digests to a node."""
-        return max(INTERVAL_MIN_S, INTERVAL_PER_NODE_S * len(self._links))
-
     def inherit(self, nodes) -> None:
         """Takes over the nodes that the last leader named.
 
@@ -111,16 +123,16 @@
         own = self._own_beat().info
         found = {own.node: own}
         for name, (at, beat) in self._beats.items():
-            if now - at <= NODE_LOST_S + self.interval_s():
+            if now - at <= NODE_LOST_S + INTERVAL_S:
                 found.setdefault(name, beat.info)
         for name, (at, info) in self._inherited.items():
-            if now - at <= NODE_LOST_S + INTERVAL_MIN_S:
+            if now - at <= NODE_LOST_S + INTERVAL_S:
                 found.setdefault(name, info)
         return list(found.values())
 
     def live_beats(self) -> list[_messages.Beat]:
         """Returns the newest beats of the live nodes, this one included."""
-        oldest = self._clock.now() - NODE_LOST_S - self.interval_s()
+        oldest = self._clock.now() - NODE_LOST_S - INTERVAL_S
         beats = [beat for at, beat in self._beats.values() if at >= oldest]
         return [*beats, self._own_beat()]
 
@@ -189,30 +201,46 @@
     async def _send_digests(self, link: _Link) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
             while self._leadership.leads():
-                await link.conn.send(_messages.encode(self._digest(link)))
+                await link.conn.send(self._digest(link))
                 link.wake.clear()
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(self.interval_s()):
+                    async with asyncio.timeout(INTERVAL_S):
                         await link.wake.wait()
             await link.conn.close(NOT_LEADING)
 
-    def _digest(self, link: _Link) -> _messages.Digest:
-        return _messages.Digest(
-            leader=self._node,
-            lease_version=self._leadership.version,
-            nodes=self.nodes(),
-            loads=self.loads(),
-            suspects=self.suspects(),
-            closed=self.closed(),
-            tables=[self._news(item, link) for item in self._followers],
+    def _digest(self, link: _Link) -> bytes:
+        """Returns the next digest of a link, encoded once for all alike."""
+        now = self._clock.now()
+        if self._shared is None or now >= self._shared.until:
+            self._shared = _Shared(now + SHARED_S, self.nodes())
+        shared = self._shared
+        tells_nodes = shared.nodes != link.sent_nodes
+        known = tuple(
+            (link.sent.get(item.table, -1), item.revision)
+            for item in self._followers
         )
+        key = (tells_nodes, known, self._leadership.version)
+        if key not in shared.encoded:
+            digest = _messages.Digest(
+                leader=self._node,
+                lease_version=self._leadership.version,
+                nodes=shared.nodes if tells_nodes else None,
+                loads=self.loads(),
+                suspects=self.suspects(),
+                closed=self.closed(),
+                tables=[self._news(item, link) for item in self._followers],
+            )
+            shared.encoded[key] = _messages.encode(digest)
+        link.sent_nodes = shared.nodes
+        for item in self._followers:
+            link.sent[item.table] = item.revision
+        return shared.encoded[key]
 
     def _news(self, follower, link: _Link) -> _messages.TableNews:
         known = link.sent.get(follower.table, -1)
         changes = follower.changes_since(known) if known >= 0 else None
         whole = changes is None
         rows, gone = (follower.rows.values(), ()) if whole else changes
-        link.sent[follower.table] = follower.revision
         return _messages.TableNews(
             table=follower.table,
             rows=[
@@ -225,7 +253,7 @@
             ],
             version=follower.version,
             whole=whole,
-            age_ms=int(min(follower.age_s(), 3600.0) * 1000),
+            age_ms=int(min(follower.age_s() + SHARED_S, 3600.0) * 1000),
         )
 
     def dump(self) -> dict:
@@ -249,6 +277,7 @@
         self._wake = asyncio.Event()
         self.heard_at = float('-inf')
         self.digest: _messages.Digest | None = None
+        self.nodes: list[_messages.NodeInfo] = []
         self.sent_loads: dict[str, int] = {}
         self.on_digest = []
 
@@ -303,13 +332,15 @@
                 await conn.send(_messages.encode(beat))
                 self._wake.clear()
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(INTERVAL_MIN_S):
+                    async with asyncio.timeout(INTERVAL_S):
                         await self._wake.wait()
 
     def _take(self, digest) -> None:
         now = self._clock.now()
         self.heard_at = now
         self.digest = digest
+        if digest.nodes is not None:
+            self.nodes = digest.nodes
         for news in digest.tables:
             follower = self._followers.get(news.table)
             if follower is None:
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -67,12 +67,13 @@
     ``loads`` are the requests of all nodes in progress by upstream,
     ``suspects`` the heads that should get no new work, ``closed`` the epochs
     of groups that the leader has given up, by head. ``lease_version`` is the
-    version of the lease row that the leader wrote last.
+    version of the lease row that the leader wrote last. ``nodes`` is
+    ``None`` while they are as last told.
     """
 
     leader: str
     lease_version: int
-    nodes: list[NodeInfo]
+    nodes: list[NodeInfo] | None
     loads: dict[str, int]
     suspects: list[str]
     closed: dict[str, int]
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -8,7 +8,8 @@
 
 TICK_S = 0.25
 LOOK_EVERY_S = 0.8  # as often as the lease is renewed
-PATIENCE_MAX_S = 0.4  # candidates spread over so long
+PATIENCE_MAX_S = 0.2  # candidates spread over so long
+SMALL_WAIT_S = 0.6  # left to VMs with a whole core by one with none
 
 
 class ElectionTask:
@@ -20,16 +21,22 @@
         link: Link to the leader.
         clock: Source of monotonic time.
         rng: Source of randomness.
+        capacity: Part of a core that this node may use.
         spawn: Function that runs a coroutine as a task.
     """
 
-    def __init__(self, leadership, hub, link, clock, rng, spawn):
+    def __init__(
+        self, leadership, hub, link, clock, rng, capacity: float, spawn
+    ):
         self._leadership = leadership
         self._hub = hub
         self._link = link
         self._clock = clock
         self._spawn = spawn
-        self._patience_s = rng.uniform(0.0, PATIENCE_MAX_S)
+        # The leader's work and traffic grow with the number of nodes.
+        self._patience_s = rng.uniform(0.0, PATIENCE_MAX_S) + (
+            SMALL_WAIT_S * max(1.0 - capacity, 0.0)
+        )
         self._renew_at = 0.0
         self._looked_at = float('-inf')
         self._link_task: asyncio.Task | None = None
@@ -80,8 +87,7 @@
         if not await leadership.take(self.address):
             return False
         self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
-        if self._link.digest is not None:
-            self._hub.inherit(self._link.digest.nodes)
+        self._hub.inherit(self._link.nodes)
         logs.event('leadership_taken', term=leadership.term)
         return True
 
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -62,14 +62,17 @@
         key = f'{service}/{req.model}'
         self._work[key] = self._work.get(key, 0.0) + work_s
 
-    def take_digest(self, digest, sent_loads: dict[str, int]) -> None:
+    def take_digest(
+        self, digest, nodes: int, sent_loads: dict[str, int]
+    ) -> None:
         """Takes in the leader's news.
 
         Args:
             digest: The digest.
+            nodes: How many nodes the leader names.
             sent_loads: This node's requests in progress as last told.
         """
-        self.set_nodes(len(digest.nodes))
+        self.set_nodes(nodes)
         self.take_loads(digest.loads, sent_loads)
         self.close_heads(digest.closed)
         for name in digest.suspects:
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -145,6 +145,7 @@
             self._link,
             clock,
             self._rng,
+            self.cfg.capacity,
             self._spawn,
         )
         self._feeds = [
@@ -221,10 +222,9 @@
         """Returns the nodes known, this one as it is now."""
         if self._leadership.leads():
             return self._hub.nodes()
-        digest = self._link.digest
         own = self._info()
-        others = digest.nodes if digest is not None else ()
-        return [own, *(item for item in others if item.node != own.node)]
+        others = (item for item in self._link.nodes if item.node != own.node)
+        return [own, *others]
 
     def _addresses_for(self, _region: str, zone: str) -> list[str]:
         return cluster.choose_addresses(self._nodes(), zone)
@@ -251,7 +251,9 @@
 
     def _take_digest(self, digest) -> None:
         self._leadership.note_renewal(digest.lease_version)
-        self._gossip.take_digest(digest, self._link.sent_loads)
+        self._gossip.take_digest(
+            digest, len(self._link.nodes), self._link.sent_loads
+        )
 
     def _tell_given_up(self) -> None:
         self._gossip.close_heads(self._fleet.given_up())
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -91,10 +91,8 @@
 
 async def test_both_name_both_nodes(pair):
     """The leader names itself and whoever is linked."""
-    await conftest.until(
-        lambda: len(pair.link.digest.nodes) == 2, 'both named'
-    )
-    names = {info.node for info in pair.link.digest.nodes}
+    await conftest.until(lambda: len(pair.link.nodes) == 2, 'both named')
+    names = {info.node for info in pair.link.nodes}
     assert names == {'n1', 'n2'}
     assert pair.link.digest.lease_version == 5
 
