--- a/plantainway/cluster/__init__.py
+++ b/plantainway/cluster/__init__.py
@@ -9,3 +9,4 @@
 from plantainway.cluster._messages import Beat
 from plantainway.cluster._messages import Digest
 from plantainway.cluster._messages import NodeInfo
+from plantainway.cluster._messages import OpenHead
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -18,6 +18,11 @@
 NODE_LOST_S = 1.2  # a node that is silent for longer is not named to clients
 LINK_TIMEOUT_S = 1.0  # two digests missed
 VOTES_MIN = 2
+FOLLOWER_S = (
+    0.8  # a node that was heard so lately does not seek another leader
+)
+FOLLOWERS_PART = 0.67  # of the nodes linked when the lease was last renewed
+REACH_S = 0.8  # a table so much newer elsewhere shows the store answers there
 NOT_LEADING = 1013  # websocket close code: try again later
 
 
@@ -70,6 +75,8 @@
         self._work_by_node: dict[str, dict[str, float]] = {}
         self.on_beat = []
         self.closed = dict  # set by the node: epochs of groups given up
+        self.opened = list  # set by the node: heads that entries don't show
+        self._followers_before = 0
         for follower in followers:
             follower.on_change.append(self._poke)
 
@@ -161,6 +168,27 @@
             more = total - before if total >= before else total
             self._work[key] = self._work.get(key, 0.0) + more
 
+    def note_renewed(self) -> None:
+        """Notes that the lease has been renewed."""
+        self._followers_before = len(self._links)
+
+    def is_followed(self) -> bool:
+        """Tells whether the nodes have no better leader than this one.
+
+        That is so while most of them are linked to it and none of them
+        reaches the store when this one does not.
+        """
+        now = self._clock.now()
+        own_age_s = max(item.age_s() for item in self._followers)
+        count = 0
+        for name, (at, beat) in self._beats.items():
+            if name not in self._links or now - at > FOLLOWER_S:
+                continue
+            if beat.store_age_ms / 1000 + now - at < own_age_s - REACH_S:
+                return False
+            count += 1
+        return count > 0 and count >= FOLLOWERS_PART * self._followers_before
+
     def suspects(self) -> list[str]:
         """Returns the heads that several nodes suspect.
 
@@ -228,6 +256,7 @@
                 loads=self.loads(),
                 suspects=self.suspects(),
                 closed=self.closed(),
+                opened=self.opened(),
                 tables=[self._news(item, link) for item in self._followers],
             )
             shared.encoded[key] = _messages.encode(digest)
--- a/plantainway/cluster/_leadership.py
+++ b/plantainway/cluster/_leadership.py
@@ -11,6 +11,8 @@
 TERM_S = 2.2  # a leader that dies is replaced within about so long
 MARGIN_S = 0.4  # covers the steps between a check and its order
 RENEW_EVERY_S = 0.8  # one renewal may fail within a term
+EXTENSION_S = 0.8  # shorter than followers take to seek another leader
+EXTENDED_MAX_S = 20.0  # longer outages end with an election
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,10 +45,12 @@
         self._clock = clock
         self._observer = leases.LeaseObserver(TERM_S)
         self._deadline = float('-inf')
+        self._renewed_at = float('-inf')
         self.address = ''
         self.holder: Holder | None = None
         self.version = stores.ABSENT
         self._seen = False
+        self._is_in_doubt = False
 
     def leads(self) -> bool:
         """Tells whether this node may act as the leader now."""
@@ -121,11 +125,34 @@
         Returns:
             Whether it is renewed.
         """
+        if self._is_in_doubt:
+            await self._settle()
         holder = self.holder
         return await self._write(
             dataclasses.replace(holder, count=holder.count + 1)
         )
 
+    async def _settle(self) -> None:
+        """Learns whether a renewal without an answer was written."""
+        row = await self._table.read(LEASE_KEY)
+        self._is_in_doubt = False
+        if row is not None and row.value['node'] == self._id:
+            self._observe(Holder(**row.value), row.version)
+
+    def extend(self) -> None:
+        """Goes on leading for a moment although the store does not answer.
+
+        Answers the load of an outage of the store, in which no node can take
+        the lease but members of groups go on dying. Only a leader may do so
+        whose time has not run out and whom the other nodes follow. Should
+        another node lead after all, the epochs of its orders are higher, and
+        engines refuse those of this one.
+        """
+        now = self._clock.now()
+        if not self.leads() or now - self._renewed_at > EXTENDED_MAX_S:
+            return
+        self._deadline = max(self._deadline, now + EXTENSION_S)
+
     async def hand_back(self) -> None:
         """Lets another node lead at once."""
         if not self.leads():
@@ -144,6 +171,7 @@
         result = await self._table.commit(txn)
         if result.outcome is stores.Outcome.UNKNOWN:
             result = await self._read_back(txn)
+        self._is_in_doubt = result.outcome is stores.Outcome.UNKNOWN
         if result.outcome is not stores.Outcome.COMMITTED:
             if result.outcome is stores.Outcome.NOT_COMMITTED:
                 self._deadline = float('-inf')
@@ -158,6 +186,7 @@
             return False
         self._observe(holder, result.version)
         if holder.node:
+            self._renewed_at = sent_at
             self._deadline = leases.holder_deadline(sent_at, TERM_S, MARGIN_S)
         return True
 
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -27,13 +27,15 @@
 
     ``loads`` are its requests in progress by upstream, ``suspects`` the
     heads whose streams stall. ``work`` is the work asked of each model since
-    the process began, in seconds of a group.
+    the process began, in seconds of a group. ``store_age_ms`` is how long
+    ago the node last knew the followed tables to be current.
     """
 
     info: NodeInfo
     loads: dict[str, int]
     suspects: list[str]
     work: dict[str, float]
+    store_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,13 +62,24 @@
     age_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenHead:
+    """A head that serves though its entry can't show it yet."""
+
+    head: str
+    group: str
+    epoch: int
+    model: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Digest:
     """What the leader tells a node.
 
     ``loads`` are the requests of all nodes in progress by upstream,
     ``suspects`` the heads that should get no new work, ``closed`` the epochs
-    of groups that the leader has given up, by head. ``lease_version`` is the
+    of groups that the leader has given up, by head, ``opened`` the heads
+    that serve though no entry shows it. ``lease_version`` is the
     version of the lease row that the leader wrote last. ``nodes`` is
     ``None`` while they are as last told.
     """
@@ -77,6 +90,7 @@
     loads: dict[str, int]
     suspects: list[str]
     closed: dict[str, int]
+    opened: list[OpenHead]
     tables: list[TableNews]
 
 
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -8,6 +8,7 @@
 
 TICK_S = 0.25
 LOOK_EVERY_S = 0.8  # as often as the lease is renewed
+LATE_S = 0.4  # a tick and a renewal
 PATIENCE_MAX_S = 0.2  # candidates spread over so long
 SMALL_WAIT_S = 0.6  # left to VMs with a whole core by one with none
 
@@ -38,6 +39,8 @@
             SMALL_WAIT_S * max(1.0 - capacity, 0.0)
         )
         self._renew_at = 0.0
+        self._renewed_at = float('-inf')
+        self._is_extended = False
         self._looked_at = float('-inf')
         self._link_task: asyncio.Task | None = None
         self.address = ''
@@ -60,18 +63,50 @@
         if self._clock.now() < self._renew_at:
             return
         self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
-        if not await self._leadership.renew():
+        if await self._leadership.renew():
+            self._note_renewed()
+        else:
             self._renew_at = self._clock.now() + TICK_S
         if not self._leadership.leads():
             logs.event('leadership_lost', term=self._leadership.term)
         for listener in self.on_renewed:
             listener()
 
+    def go_on(self) -> None:
+        """Keeps leading through an outage of the store.
+
+        Called with each beat, since a renewal may wait for the store.
+        """
+        late_at = self._renewed_at + cluster.RENEW_EVERY_S + LATE_S
+        if not self._leadership.leads() or self._clock.now() < late_at:
+            self._is_extended = False
+            return
+        if not self._hub.is_followed():
+            return
+        self._leadership.extend()
+        if not self._is_extended:
+            self._is_extended = True
+            logs.event(
+                'leadership_extended',
+                term=self._leadership.term,
+                since_renewal_ms=int(
+                    (self._clock.now() - self._renewed_at) * 1000
+                ),
+            )
+
+    def _note_renewed(self) -> None:
+        self._renewed_at = self._clock.now()
+        self._hub.note_renewed()
+
     async def _look(self) -> None:
         now = self._clock.now()
         if now - self._looked_at >= LOOK_EVERY_S:
             self._looked_at = now
-            await self._leadership.look()
+            try:
+                await self._leadership.look()
+            except errors.StoreUnavailableError:
+                self._follow()  # the last known leader may still lead
+                raise
         if not await self._take():
             self._follow()
 
@@ -88,6 +123,7 @@
             return False
         self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
         self._hub.inherit(self._link.nodes)
+        self._note_renewed()
         logs.event('leadership_taken', term=leadership.term)
         return True
 
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -1,8 +1,10 @@
 """What a node tells the leader, and what it takes from its digests."""
 
 from plantainway import cluster
+from plantainway import deployment
 
 SUSPECT_S = 1.0  # how long a suspicion is told to the leader
+AGE_MAX_S = 3600.0  # stands for a table that was never read
 
 
 class Gossip:
@@ -39,6 +41,7 @@
             dict(self._parts.loads.own),
             list(self._suspects),
             dict(self._work),
+            int(min(self._view.age_s(), AGE_MAX_S) * 1000),
         )
 
     def suspect(self, head: str) -> None:
@@ -75,6 +78,18 @@
         self.set_nodes(nodes)
         self.take_loads(digest.loads, sent_loads)
         self.close_heads(digest.closed)
+        self.open_heads(
+            {
+                item.head: deployment.Membership(
+                    item.group,
+                    item.epoch,
+                    0,
+                    deployment.GroupState.OPEN,
+                    item.model,
+                )
+                for item in digest.opened
+            }
+        )
         for name in digest.suspects:
             self._parts.stalls.suspect(name)
 
@@ -91,6 +106,15 @@
             ):
                 self._parts.heads.note_closed(head)
 
+    def open_heads(self, opened: dict[str, deployment.Membership]) -> None:
+        """Sends work to heads that serve though no entry shows it.
+
+        Args:
+            opened: Memberships by head.
+        """
+        for name, member in opened.items():
+            self._view.note_opened(name, member)
+
     def set_nodes(self, count: int) -> None:
         """Deals the retry budget out among the nodes.
 
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -160,8 +160,9 @@
         view.on_upstreams.append(parts.heads.pump)
         view.on_regrouped.append(parts.stalls.forget)
         view.on_gone.append(parts.forget)
-        self._fleet.on_given_up.append(self._tell_given_up)
+        self._fleet.on_heads_changed.append(self._tell_heads_changed)
         self._hub.closed = self._fleet.given_up
+        self._hub.opened = self._opened_heads
         self._hub.on_beat.append(self._take_beat)
         self._link.on_digest.append(self._take_digest)
         self._election.on_renewed.append(
@@ -245,6 +246,7 @@
             self._link.poke()
 
     def _take_beat(self, beat) -> None:
+        self._election.go_on()
         self._fleet.note_work(self._hub.work())
         self._fleet.suspect(beat.suspects)
         self._gossip.take_loads(self._hub.loads(), self._parts.loads.own)
@@ -255,10 +257,17 @@
             digest, len(self._link.nodes), self._link.sent_loads
         )
 
-    def _tell_given_up(self) -> None:
+    def _tell_heads_changed(self) -> None:
         self._gossip.close_heads(self._fleet.given_up())
+        self._gossip.open_heads(self._fleet.unseen_heads())
         self._hub.poke()
 
+    def _opened_heads(self) -> list[cluster.OpenHead]:
+        return [
+            cluster.OpenHead(name, member.group, member.epoch, member.model)
+            for name, member in self._fleet.unseen_heads().items()
+        ]
+
     async def stop(self) -> None:
         """Leaves: no new clients, all requests in progress ended."""
         if self._leaving:
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -1,5 +1,7 @@
 """The configuration and the upstreams, taken from the followed tables."""
 
+import dataclasses
+
 from plantainway import cluster
 from plantainway import deployment
 from plantainway import errors
@@ -49,6 +51,39 @@
         """Returns when the upstreams were last known to be current."""
         return self.upstream_rows.current_as_of
 
+    def age_s(self) -> float:
+        """Returns how long ago the older table was known to be current."""
+        return max(item.age_s() for item in self.followers)
+
+    def note_opened(self, name: str, member) -> None:
+        """Takes the leader's word that a head serves.
+
+        The next change of its entry goes before this.
+
+        Args:
+            name: Name of the head.
+            member: Its membership.
+        """
+        known = self.book.by_name.get(name)
+        if known is None or (
+            known.membership is not None
+            and known.membership.epoch >= member.epoch
+            and known.is_open_head
+        ):
+            return
+        logs.event(
+            'head_opened',
+            upstream=name,
+            group=member.group,
+            epoch=member.epoch,
+        )
+        for listener in self.on_regrouped:
+            listener(name)
+        changed = dataclasses.replace(known, membership=member)
+        self.book.apply([changed], [], self.upstream_rows.version)
+        for listener in self.on_upstreams:
+            listener()
+
     def _take_configuration(self, _changed, _removed) -> None:
         row = self.config_rows.rows.get(platform.CONFIG_KEY)
         if row is None:
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -65,7 +65,7 @@
 
     ``formed_at`` is monotonic seconds. ``lives`` holds the ``born`` of each
     member when it joined. ``closing_since`` is set once its head was told to
-    close.
+    close, ``seen_open_at`` once its head was seen to serve.
     """
 
     name: str
@@ -78,7 +78,7 @@
     opened: bool = False
     open_sent_at: float = 0.0
     closing_since: float | None = None
-    reason: str = ''
+    seen_open_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -144,3 +144,54 @@
         await other.task
     assert other.link.digest is None
     await other.hub.close()
+
+
+def _hub_with(clock, beats, links, followers_before):
+    rows = cluster.Follower('t', clock)
+    rows.load(stores.Reading((), 1), clock.now())
+    hub = cluster.Hub('n0', Lease(True), [rows], lambda: _beat('n0'), clock)
+    hub._links = {name: object() for name in range(followers_before)}
+    hub.note_renewed()
+    hub._links = dict.fromkeys(links)
+    hub._beats = dict(beats)
+    return hub
+
+
+@pytest.mark.parametrize(
+    'heard_s, ages_s, links, before, followed',
+    [
+        ((0.1, 0.3, 0.7), (3.0, 3.2, 2.9), 3, 3, True),
+        ((0.1, 0.3, 0.7), (3.0, 3.2, 2.9), 3, 4, True),
+        ((0.1, 0.3, 0.7), (3.0, 3.2, 2.9), 3, 5, False),  # too few are left
+        ((0.1, 0.9, 1.0), (3.0, 3.2, 2.9), 3, 3, False),  # two are silent
+        ((0.1, 0.3, 0.7), (3.0, 3.2, 2.9), 1, 3, False),  # two links ended
+        ((0.1, 0.3, 0.7), (3.0, 0.4, 2.9), 3, 3, False),  # one reads it
+        ((), (), 0, 0, False),
+    ],
+)
+def test_leader_is_followed(heard_s, ages_s, links, before, followed):
+    """Most nodes are linked, and none reaches a store that it does not."""
+    clock = clocks.ManualClock()
+    names = [f'n{n}' for n in range(1, len(heard_s) + 1)]
+    now = clock.now() + 3.0
+    beats = {
+        name: (now - ago, _beat(name, store_age_ms=int(age * 1000)))
+        for name, ago, age in zip(names, heard_s, ages_s, strict=True)
+    }
+    hub = _hub_with(clock, beats, names[:links], before)
+    clock.advance(3.0)
+    assert hub.is_followed() == followed
+
+
+async def test_nodes_are_told_on_change_only(pair):
+    """A digest names the nodes when they are new to the link."""
+    digests = []
+    pair.link.on_digest.append(digests.append)
+    await conftest.until(lambda: len(pair.link.nodes) == 2, 'both named')
+    digests.clear()
+    pair.hub.poke()
+    await conftest.until(lambda: len(digests) >= 2, 'two digests')
+    assert [digest.nodes for digest in digests] == [None] * len(digests)
+    changed = cluster.NodeInfo('n1', 'n1:1', 'a', 1.0, False)
+    pair.beats['n1'] = cluster.Beat(changed, {}, [], {})
+    await conftest.until(lambda: changed in pair.link.nodes, 'change told')
--- a/tests/cluster/test_leadership.py
+++ b/tests/cluster/test_leadership.py
@@ -126,3 +126,51 @@
     assert not first.leads()
     await second.look()
     assert second.may_take(0.0)
+
+
+async def test_leader_goes_on_through_an_outage(server, table, clock):
+    """Extended moment by moment, it leads until the store is back."""
+    leadership = _node('n1', table, clock)
+    assert await _take(leadership)
+    server.faults.late_writes = 1
+    assert not await leadership.renew()
+    await asyncio.sleep(server.faults.late_s * 2)
+    for _moment in range(10):
+        clock.advance(_leadership.EXTENSION_S - 0.1)
+        assert leadership.leads()
+        leadership.extend()
+    assert await leadership.renew()
+    assert leadership.leads()
+
+
+@pytest.mark.parametrize(
+    'pause_s, moments',
+    [
+        (_leadership.TERM_S, 1),  # its time had run out before
+        (0.5, int(_leadership.EXTENDED_MAX_S / 0.5) + 3),
+    ],
+)
+async def test_extension_ends(table, clock, pause_s, moments):
+    """A leader that paused, or an outage without an end, extends nothing."""
+    leadership = _node('n1', table, clock)
+    assert await _take(leadership)
+    for _moment in range(moments):
+        clock.advance(pause_s)
+        leadership.extend()
+    assert not leadership.leads()
+
+
+async def test_leader_in_an_outage_yields_to_a_new_one(table, clock):
+    """The first renewal after the outage shows who leads."""
+    first, second = (_node(name, table, clock) for name in ('n1', 'n2'))
+    assert await _take(first)
+    await second.look()
+    for _moment in range(4):
+        clock.advance(0.7)
+        first.extend()
+    assert second.may_take(0.0)
+    assert await second.take('10.0.0.2:1')
+    assert first.leads()
+    assert not await first.renew()
+    assert not first.leads()
+    assert second.term > first.term
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -124,3 +124,64 @@
         await world.run(0.5)
     await world.run(4.0)
     assert (world.open_groups('big'), world.open_groups('small')) == (2, 2)
+
+
+async def test_groups_are_repaired_while_the_store_is_away():
+    """Reports stand in for entries; heads that opened are made known."""
+    world = _World({'d0': EMPTY})
+    await world.run(8.0)
+    world.start_traffic()
+    world.engines.is_store_away = True
+    await world.run(3.0)
+    lost = world.members('big')[2]
+    world.engines.by_name[lost].is_dead = True
+    world.control.suspect(world.members('big')[0])
+    await world.run(2.0)
+    assert world.open_groups('big') == 1
+    head = world.members('big')[0]
+    member = world.engines.by_name[head].membership
+    assert world.control.unseen_heads() == {head: member}
+    await world.run(10.0)
+    assert world.members('big')[0] == head
+    world.engines.is_store_away = False
+    await world.run(1.0)
+    assert world.control.unseen_heads() == {}
+    assert world.members('big')[0] == head
+
+
+async def test_old_entries_after_an_outage_undo_nothing():
+    """Entries that are written again late don't show a new group."""
+    world = _World({'d0': EMPTY})
+    await world.run(8.0)
+    world.start_traffic()
+    world.engines.is_store_away = True
+    lost = world.members('big')[2]
+    world.engines.by_name[lost].is_dead = True
+    world.control.suspect(world.members('big')[0])
+    await world.run(3.0)
+    head = world.members('big')[0]
+    orders = len(world.engines.orders)
+    for _step in range(15):  # the store answers, with the old entries
+        world.engines.as_of = world.clock.now()
+        await world.run(0.1)
+    world.engines.is_store_away = False
+    await world.run(2.0)
+    assert world.members('big')[0] == head
+    assert len(world.engines.orders) == orders
+
+
+async def test_new_leader_waits_for_the_store():
+    """Whoever takes the lead adopts nothing from old entries."""
+    world = _World({'d0': EMPTY})
+    await world.run(8.0)
+    world.start_traffic()
+    world.engines.is_store_away = True
+    world.lease.term = 2
+    lost = world.members('big')[2]
+    world.engines.by_name[lost].is_dead = True
+    orders = len(world.engines.orders)
+    await world.run(5.0)
+    assert len(world.engines.orders) == orders
+    world.engines.is_store_away = False
+    await world.run(2.0)
+    assert world.open_groups('big') == 1
