--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: demo test lint format binary capacity latency clean
+.PHONY: demo test soak lint format binary capacity latency clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -18,6 +18,15 @@
 test: $(VENV)/.ready
 	$(BIN)/python -m pytest
 
+SEED ?= 1
+SECONDS ?= 30
+NODES ?= 3
+RUNS ?= 1
+
+soak: $(VENV)/.ready
+	$(BIN)/python -m tests.soak --seed=$(SEED) --seconds=$(SECONDS) \
+	    --nodes=$(NODES) --runs=$(RUNS)
+
 lint: $(VENV)/.ready
 	$(BIN)/python -m flake8 plantainway tests benchmarks
 	$(BIN)/ruff format --check plantainway tests benchmarks
--- /dev/null
+++ b/tests/platform/processes.py
@@ -0,0 +1,71 @@
+"""Node processes that tests start, signal and end."""
+
+import asyncio
+import os
+import re
+import signal
+import sys
+
+from tests.platform import conftest
+
+
+class Process:
+    """A node process and the lines that it writes.
+
+    Args:
+        cfg: Its settings.
+        path: Where to write them.
+    """
+
+    def __init__(self, cfg, path):
+        path.write_text(cfg.model_dump_json())
+        self._path = path
+        self.lines: list[str] = []
+        self.addresses: dict[str, str] = {}
+
+    async def start(self) -> None:
+        """Starts the process and waits until it listens."""
+        self.proc = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'plantainway.edge',
+            stdout=asyncio.subprocess.PIPE,
+            env=os.environ | {'PLANTAINWAY_SETTINGS': str(self._path)},
+        )
+        self._reader = asyncio.ensure_future(self._read())
+        before = len(self.lines)
+        await conftest.until(lambda: self.saw('node_started', before), 'start')
+        (line,) = [
+            one for one in self.lines[before:] if 'event=node_started' in one
+        ]
+        self.addresses = dict(
+            re.findall(r'(peer|caller|directory|readiness)=(\S+)', line)
+        )
+
+    async def _read(self) -> None:
+        async for line in self.proc.stdout:
+            self.lines.append(line.decode())
+
+    def saw(self, event: str, since: int = 0) -> bool:
+        """Tells whether an event was logged.
+
+        Args:
+            event: Name of the event.
+            since: Number of lines to leave out.
+        """
+        return any(f'event={event} ' in line for line in self.lines[since:])
+
+    async def end(self, number=signal.SIGKILL) -> int:
+        """Ends the process.
+
+        Args:
+            number: Signal to send.
+
+        Returns:
+            Its exit status.
+        """
+        if self.proc.returncode is None:
+            self.proc.send_signal(number)
+        status = await self.proc.wait()
+        await self._reader
+        return status
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -2,82 +2,22 @@
 
 import asyncio
 import json
-import os
-import re
 import signal
-import sys
 
 import pytest
 
 from tests.platform import conftest
+from tests.platform import processes
 from tests.platform import runner_standin
 
 STREAM = {'Model': 'm0', 'Token_Count': '10,10', 'method': 'POST'}
 
 
-class Process:
-    """A node process and the lines that it writes.
-
-    Args:
-        cfg: Its settings.
-        path: Where to write them.
-    """
-
-    def __init__(self, cfg, path):
-        path.write_text(cfg.model_dump_json())
-        self._path = path
-        self.lines: list[str] = []
-        self.addresses: dict[str, str] = {}
-
-    async def start(self) -> None:
-        """Starts the process and waits until it listens."""
-        self.proc = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'plantainway.edge',
-            stdout=asyncio.subprocess.PIPE,
-            env=os.environ | {'PLANTAINWAY_SETTINGS': str(self._path)},
-        )
-        self._reader = asyncio.ensure_future(self._read())
-        await conftest.until(lambda: self.saw('node_started'), 'start')
-        (line,) = [one for one in self.lines if 'event=node_started' in one]
-        self.addresses = dict(
-            re.findall(r'(peer|caller|directory|readiness)=(\S+)', line)
-        )
-
-    async def _read(self) -> None:
-        async for line in self.proc.stdout:
-            self.lines.append(line.decode())
-
-    def saw(self, event: str) -> bool:
-        """Tells whether an event was logged.
-
-        Args:
-            event: Name of the event.
-        """
-        return any(f'event={event} ' in line for line in self.lines)
-
-    async def end(self, number=signal.SIGKILL) -> int:
-        """Ends the process.
-
-        Args:
-            number: Signal to send.
-
-        Returns:
-            Its exit status.
-        """
-        if self.proc.returncode is None:
-            self.proc.send_signal(number)
-        status = await self.proc.wait()
-        await self._reader
-        return status
-
-
 @pytest.fixture
 async def pair(store, runners, tmp_path):
     """Two running node processes, the groups open."""
     found = [
-        Process(
+        processes.Process(
             conftest.settings(name, store.address, directory_ttl_s=2.0),
             tmp_path / f'{name}.json',
         )
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded soak: real node processes under faults from outside them."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,50 @@
+"""Runs a soak: ``python -m tests.soak --seed=1 --seconds=30 --nodes=3``."""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import fire
+
+from tests.soak import world
+
+
+def soak(
+    seed: int = 1,
+    seconds: float = 30.0,
+    nodes: int = 3,
+    callers: int = 8,
+    runs: int = 1,
+    logs: str = '',
+) -> None:
+    """Plays seeded runs and prints what broke.
+
+    Args:
+        seed: Seed of the first run.
+        seconds: Length of the time with faults of a run.
+        nodes: Number of node processes.
+        callers: Number of callers.
+        runs: Number of runs, each with the next seed.
+        logs: Directory for the logs of the nodes, empty for none.
+    """
+    broken = 0
+    for number in range(seed, seed + runs):
+        directory = pathlib.Path(logs or tempfile.mkdtemp(prefix='soak-'))
+        directory = directory / f'seed-{number}'
+        directory.mkdir(parents=True, exist_ok=True)
+        played = world.World(number, nodes, directory)
+        breaches = asyncio.run(played.run(seconds, callers))
+        broken += bool(breaches)
+        outcomes = dict(sorted(played.ledger.outcomes.items()))
+        print(f'seed {number}: {len(breaches)} breaches, {outcomes}')
+        for breach in breaches:
+            print(f'  {breach.promise}: {breach.detail}')
+        if breaches:
+            print(f'  logs: {directory}')
+        sys.stdout.flush()
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(soak)
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,108 @@
+"""A loopback proxy that delays, resets, silences or cuts one way."""
+
+import asyncio
+import contextlib
+import enum
+
+CHUNK_BYTES = 65536
+DELAY_S = 0.15
+
+
+class Mode(enum.Enum):
+    """What a link does to bytes and connections."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    RESET = 'reset'
+    SILENT = 'silent'
+    CUT_TO = 'cut_to'
+    CUT_FROM = 'cut_from'
+
+
+class Proxy:
+    """A link to one address.
+
+    Args:
+        target: Address behind it, ``HOST:PORT``.
+    """
+
+    def __init__(self, target: str):
+        self._target = target
+        self.mode = Mode.PASS
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> str:
+        """Listens.
+
+        Returns:
+            The address to use instead of the target's.
+        """
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    async def stop(self) -> None:
+        """Cuts all connections."""
+        self._server.close()
+        self._abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_mode(self, mode: Mode) -> None:
+        """Changes what the link does.
+
+        Args:
+            mode: The mode.
+        """
+        self.mode = mode
+        if mode is Mode.RESET:
+            self._abort()
+        if mode in (Mode.SILENT, Mode.CUT_TO, Mode.CUT_FROM):
+            self._passing.clear()
+        else:
+            self._passing.set()
+
+    def _abort(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            if self.mode is Mode.RESET:
+                writer.transport.abort()
+                return
+            host, _, port = self._target.rpartition(':')
+            other_reader, other = await asyncio.open_connection(host, port)
+            self._writers.add(other)
+            await asyncio.gather(
+                self._pump(reader, other, Mode.CUT_TO),
+                self._pump(other_reader, writer, Mode.CUT_FROM),
+            )
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+
+    async def _pump(self, reader, writer, cut: Mode) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                while self.mode in (Mode.SILENT, cut):
+                    await self._passing.wait()
+                writer.write(data)
+                await writer.drain()
+            with contextlib.suppress(OSError, RuntimeError):
+                writer.write_eof()
+        except ConnectionError:
+            # The other side learns of it as it would without the proxy.
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
