--- a/plantainway/edge/_feeds.py
+++ b/plantainway/edge/_feeds.py
@@ -80,8 +80,8 @@
     def _may_wait(self) -> bool:
         """Tells whether a poll may wait for changes.
 
-        A poll that waits shows the table as it was when it was sent, and a
-        new leader plans nothing until it has seen the table of its own time.
+        A new leader plans nothing until it has seen the table of its own
+        time.
         """
         if not self._led:
             self._waits_from = self._clock.now() + TAKEOVER_S
@@ -104,4 +104,7 @@
         reading = await self._feed.changes(
             self._follower.table, self._follower.version, wait_s
         )
-        self._follower.apply(reading, asked_at)
+        as_of = asked_at
+        if not reading.rows and self._clock.now() - asked_at >= wait_s:
+            as_of += wait_s  # the store waited so long for changes in vain
+        self._follower.apply(reading, as_of)
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -256,8 +256,6 @@
     """
     actions = []
     names = sorted(model.name for model in profile.models)
-    if starting and any(counts.is_short(name) for name in names):
-        return actions  # groups go before spares
     weights = {
         model.name: counts.want[model.name].base * model.members
         for model in profile.models
@@ -266,6 +264,11 @@
         if _leaving(view):
             continue  # they may make a group with the idle ones
         idle = idle_engines(view)
+        if starting and any(
+            counts.is_short(model.name) and len(idle) >= model.members
+            for model in profile.models
+        ):
+            continue  # groups go before spares
         missing = _spare_mix(weights, len(idle) + len(view.loading))
         missing.subtract(view.loading.values())
         misfits = []
--- a/tests/edge/test_feeds.py
+++ b/tests/edge/test_feeds.py
@@ -69,3 +69,37 @@
         )
     assert 0.2 <= pauses[-1] <= longest
     assert pauses[-1] > 0.4 or leads
+
+
+class _SlowFeed(_Feed):
+    """A store that answers after a while."""
+
+    def __init__(self, clock, takes_s, rows):
+        super().__init__()
+        self._clock = clock
+        self._takes_s = takes_s
+        self._rows = rows
+
+    async def changes(self, _table, _version, _wait_s):
+        """Returns rows later."""
+        self._clock.advance(self._takes_s)
+        return stores.Reading(self._rows, 2)
+
+
+@pytest.mark.parametrize(
+    'takes_s, rows, age_s',
+    [
+        (0.51, (), 0.01),
+        (0.2, (), 0.2),  # answered early: nobody waited
+        (0.51, (stores.RawRow('a', b'1', 2),), 0.51),
+    ],
+)
+async def test_age_after_a_poll(takes_s, rows, age_s):
+    """A poll that waited in vain shows the table as it was at its end."""
+    clock = clocks.ManualClock()
+    follower = cluster.Follower('t', clock)
+    follower.load(stores.Reading((), 1), clock.now())
+    feed = _SlowFeed(clock, takes_s, rows)
+    task = _feeds.FeedTask(follower, feed, lambda: True, clock)
+    await task._poll(_feeds.LEADER_WAIT_S)
+    assert follower.age_s() == pytest.approx(age_s)
--- a/tests/supply/test_plan.py
+++ b/tests/supply/test_plan.py
@@ -221,3 +221,22 @@
         meter.note({'big': 3.0 * step})
         clock.advance(1.0)
     assert meter.groups() == {'big': pytest.approx(3.0)}
+
+
+@pytest.mark.parametrize(
+    'idle, have, expected',
+    [
+        (3, (0, 1), 3),  # too few for the group that is missing
+        (4, (0, 1), 0),
+        (1, (1, 0), 1),
+        (2, (1, 0), 0),
+        (2, (1, 1), 2),
+    ],
+)
+def test_spares_wait_for_groups_that_can_be_formed(idle, have, expected):
+    """At the start engines that can't make a missing group load at once."""
+    engines = [make_engine(f'e{n}') for n in range(idle)]
+    actions = _plan.warm_spares(
+        [_view('d', engines)], make_profile(), _counts(*have), 8, True
+    )
+    assert len(actions) == expected
