--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -44,7 +44,7 @@
         self._looked_at = float('-inf')
         self._link_task: asyncio.Task | None = None
         self.address = ''
-        self.is_leaving = False
+        self._is_leaving = False
         self.on_renewed = []
 
     async def run(self) -> None:
@@ -65,6 +65,9 @@
         self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
         if await self._leadership.renew():
             self._note_renewed()
+            if self._is_leaving:
+                await self._leadership.hand_back()
+                return
         else:
             self._renew_at = self._clock.now() + TICK_S
         if not self._leadership.leads():
@@ -72,6 +75,21 @@
         for listener in self.on_renewed:
             listener()
 
+    async def leave(self) -> None:
+        """Lets another node lead, now or once the store lets it.
+
+        While the store is away nobody could take over: this node goes on
+        until the first renewal or its end.
+        """
+        self._is_leaving = True
+        if self._is_extended and self._leadership.leads():
+            logs.event('leadership_kept', term=self._leadership.term)
+            return
+        try:
+            await self._leadership.hand_back()
+        except errors.StoreUnavailableError as exc:
+            logs.event('lease_not_handed_back', reason=exc.message)
+
     def go_on(self) -> None:
         """Keeps leading through an outage of the store.
 
@@ -117,7 +135,7 @@
             Whether this node leads now.
         """
         leadership = self._leadership
-        if self.is_leaving or not leadership.may_take(self._patience_s):
+        if self._is_leaving or not leadership.may_take(self._patience_s):
             return False
         if not await leadership.take(self.address):
             return False
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -1,7 +1,6 @@
 """One node on the users' platform: its parts, its start and its stop."""
 
 import asyncio
-import contextlib
 import functools
 import random
 import time
@@ -15,7 +14,6 @@
 from plantainway.edge import _gossip
 from plantainway.edge import _metrics
 from plantainway.edge import _view
-from plantainway import errors
 from plantainway import logs
 from plantainway import platform
 from plantainway import traffic
@@ -280,11 +278,9 @@
             in_progress=self._gateway.in_progress,
         )
         self._ingress.closing = True
-        self._election.is_leaving = True
         self._link.poke()
         self._hub.poke()
-        with contextlib.suppress(errors.PlantainwayError):
-            await self._leadership.hand_back()
+        await self._election.leave()
         # Clients that still hold an answer of the directory come until then.
         kept_s = self.cfg.bounds.directory_ttl_s * KEPT_TIMES
         asked_until = self._clock.now() + kept_s + STILL_ASKED_S
