--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -316,6 +316,20 @@
         'if False:',
         'tests/supply/test_control.py',
     ),
+    Mutant(
+        'spares are asked before they are used',
+        'plantainway/supply/_plan.py',
+        '        and not engine.is_probed\n',
+        '',
+        'tests/supply/test_control.py',
+    ),
+    Mutant(
+        'leaving leader stays while nobody can take over',
+        'plantainway/edge/_election.py',
+        'if self._is_extended and self._leadership.leads():',
+        'if False:',
+        'tests/edge/test_election.py',
+    ),
     Mutant(
         'reports stand in for old entries',
         'plantainway/supply/_contacts.py',
--- a/plantainway/edge/_fleet.py
+++ b/plantainway/edge/_fleet.py
@@ -46,7 +46,7 @@
             self._spawn,
             self._view.upstreams_as_of,
         )
-        controller.on_heads_changed.append(self._tell_heads_changed)
+        controller.heads.on_change.append(self._tell_heads_changed)
         self._controllers[service] = controller
         self._spawn(controller.run())
         return controller
@@ -88,14 +88,14 @@
         """Returns the epochs of groups given up of late, by head."""
         closed: dict[str, int] = {}
         for controller in self._controllers.values():
-            closed |= controller.given_up()
+            closed |= controller.heads.given_up()
         return closed
 
     def unseen_heads(self) -> dict[str, deployment.Membership]:
         """Returns heads that serve though no entry shows it yet."""
         found: dict[str, deployment.Membership] = {}
         for controller in self._controllers.values():
-            found |= controller.unseen_heads()
+            found |= controller.heads.opened()
         return found
 
     def dump(self) -> dict:
--- a/plantainway/supply/_contacts.py
+++ b/plantainway/supply/_contacts.py
@@ -271,7 +271,9 @@
             return _state.EngineFacts(
                 upstream, _state.Contact.SILENT, self.silent_since
             )
-        return _state.EngineFacts(upstream, pace=self.pace)
+        return _state.EngineFacts(
+            upstream, pace=self.pace, is_probed=self.probing
+        )
 
     def _newest(self, upstream, as_of: float, now: float):
         """Returns an engine by its entry, or by its report if that is newer.
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -1,13 +1,13 @@
 """Keeps the replica groups of one service while this node leads."""
 
 import asyncio
-import dataclasses
 
 from plantainway import deployment
 from plantainway import logs
 from plantainway.supply import _adoption
 from plantainway.supply import _contacts
 from plantainway.supply import _demand
+from plantainway.supply import _heads
 from plantainway.supply import _orders
 from plantainway.supply import _pacing
 from plantainway.supply import _plan
@@ -18,7 +18,6 @@
 
 EPOCHS_PER_TERM = 100000  # epochs that one term may use
 TICK_S = 0.1  # a repair takes 1.4 s at least
-TOLD_S = 8.0  # entries of dead heads have lapsed by then
 STALE_S = 1.2  # the leader's readings are half as old while the store answers
 SETTLE_S = 0.5  # an open head shows in its entry within so long
 REGISTERING_S = 1.0  # engines of one start register closer together
@@ -65,9 +64,7 @@
         self._releases = _releases.ReleaseBook()
         self._groups: dict[str, _state.GroupRecord] = {}
         self._warmups = _warming.WarmupBook()
-        self._given_up: dict[str, tuple[int, float]] = {}
-        self._unseen: dict[str, deployment.Membership] = {}
-        self.on_heads_changed = []
+        self.heads = _heads.HeadNews(clock)
         self._epochs = 0
         self._term = 0
         self._pacer = _pacing.LoadPacer(self._contacts.find)
@@ -104,30 +101,6 @@
             self._pacer.traffic_seen = True
         self._demand.note(totals)
 
-    def given_up(self) -> dict[str, int]:
-        """Returns the epochs of groups given up of late, by head.
-
-        The entry of a head that is dead shows it open until it lapses.
-        """
-        now = self._clock.now()
-        self._given_up = {
-            head: (epoch, until)
-            for head, (epoch, until) in self._given_up.items()
-            if until > now
-        }
-        return {head: epoch for head, (epoch, _at) in self._given_up.items()}
-
-    def _keep_given_up(self, now: float) -> None:
-        """Tells of heads given up for as long as entries can't lapse."""
-        self._given_up = {
-            head: (epoch, now + TOLD_S)
-            for head, (epoch, _until) in self._given_up.items()
-        }
-
-    def unseen_heads(self) -> dict[str, deployment.Membership]:
-        """Returns heads that serve though their entry can't show it yet."""
-        return dict(self._unseen)
-
     def suspect(self, head: str) -> None:
         """Probes the members of a head's group at once.
 
@@ -142,7 +115,7 @@
     def _adopt(self, now: float) -> None:
         """Takes over the groups that stand when this term begins."""
         facts = self._contacts.facts(self._current_as_of())
-        self._unseen.clear()
+        self.heads.clear()
         self._releases.clear()
         self._warmups.adopt(facts, now + self._pacer.longest_load_s())
         self._groups = _adoption.adopt_groups(facts, self.profile, now)
@@ -166,15 +139,16 @@
         if now - as_of > STALE_S:
             # Entries no longer show what orders do; reports have to.
             self._contacts.watch(self._changing())
-            self._keep_given_up(now)
-        self._note_unseen(facts, as_of)
+            self.heads.keep()
+        self.heads.note_open(self._groups.values(), facts, as_of)
         self._contacts.probe_due(
             name
             for record in self._groups.values()
             if record.opened
             for name in record.members
         )
-        self._repair(facts, now)
+        if self._repair(facts, now):
+            facts = self._contacts.facts(as_of)
         self._form_groups(facts, now)
         self._warm_spares(facts, now)
 
@@ -190,32 +164,6 @@
                 names.add(record.members[0])
         return names
 
-    def _note_unseen(self, facts, as_of: float) -> None:
-        """Finds the heads that have opened since entries were current."""
-        unseen = {}
-        for record in self._groups.values():
-            head = facts.get(record.members[0])
-            if head is None or not record.opened:
-                continue
-            if record.seen_open_at is None and head.upstream.is_open_head:
-                record.seen_open_at = self._clock.now()
-            if (
-                record.seen_open_at is not None
-                and record.seen_open_at > as_of
-                and head.member_key == (head.name, record.name, record.epoch)
-            ):
-                unseen[head.name] = dataclasses.replace(
-                    head.membership, model=record.model
-                )
-        has_new = bool(unseen.keys() - self._unseen.keys())
-        self._unseen = unseen
-        if has_new:
-            self._tell_heads_changed()
-
-    def _tell_heads_changed(self) -> None:
-        for listener in self.on_heads_changed:
-            listener()
-
     def _begin_term(self, now: float) -> bool:
         """Adopts what stands once the last leader's orders must show.
 
@@ -234,10 +182,23 @@
         self._adopt(now)
         return True
 
-    def _repair(self, facts, now: float) -> None:
+    def _repair(self, facts, now: float) -> bool:
+        """Looks after the standing groups.
+
+        Where a member is lost the whole domain may be: its spares are asked
+        before they are used.
+
+        Returns:
+            Whether engines were asked.
+        """
+        asks = False
         for view in self._views(facts):
             for action in _repair.repair(view, now, self._pacer.expected_s):
                 self._apply(action, facts, now)
+                if isinstance(action, _state.Disband):
+                    asks = True
+                    for engine in _plan.idle_engines(view):
+                        self._contacts.probe_soon(engine.name)
         for fact in self._warmups.finish(facts, now):
             self._releases.begin(fact)
         known = self._warmups.member_keys | {
@@ -247,6 +208,7 @@
         }
         for order in self._releases.follow(facts, known, now):
             self._send(order)
+        return asks
 
     def _form_groups(self, facts, now: float) -> None:
         views = self._views(facts)
@@ -422,9 +384,7 @@
         record = self._groups.pop(action.group)
         self._log(action, record)
         if record.opened and record.members[0]:
-            until = self._clock.now() + TOLD_S
-            self._given_up[record.members[0]] = (record.epoch, until)
-            self._tell_heads_changed()
+            self.heads.give_up(record.members[0], record.epoch)
         for name in record.members:
             fact = facts.get(name)
             if fact is None or fact.contact is not _state.Contact.ANSWERS:
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -99,6 +99,7 @@
         for name, engine in sorted(view.engines.items())
         if engine.is_usable
         and not engine.is_slow
+        and not engine.is_probed
         and name not in taken
         and name not in view.busy
         and (engine.membership is None or engine.member_key in view.left)
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -22,13 +22,15 @@
     """An engine as last seen.
 
     ``silent_since`` is monotonic seconds, ``None`` while it answers;
-    ``pace`` is how many times slower than usual it says it is.
+    ``pace`` is how many times slower than usual it says it is; ``is_probed``
+    while it has been asked and has not answered yet.
     """
 
     upstream: deployment.Upstream
     contact: Contact = Contact.ANSWERS
     silent_since: float | None = None
     pace: float = 1.0
+    is_probed: bool = False
 
     @property
     def name(self) -> str:
--- a/tests/supply/fake_engines.py
+++ b/tests/supply/fake_engines.py
@@ -1,5 +1,6 @@
 """Engines that carry out orders by the clock of a test."""
 
+import asyncio
 import dataclasses
 
 from plantainway import deployment
@@ -10,6 +11,7 @@
 Kind = _orders.OrderKind
 SERVICE = 's'
 REJOIN_S = 0.2
+SILENCE_S = 0.02  # seconds of the machine, not of the test's clock
 LOAD_RATIO_AT_START = 0.1
 
 
@@ -57,6 +59,8 @@
         self.book = deployment.UpstreamBook()
         self.as_of = clock.now()
         self.is_store_away = False
+        self.lapse_s = 0.0
+        self._seen_at: dict[str, float] = {}
         self.load_ratio = LOAD_RATIO_AT_START
         self.orders: list[_orders.Order] = []
 
@@ -75,10 +79,13 @@
         if self.is_store_away:
             return
         self.as_of = now
+        for engine in self.by_name.values():
+            if not engine.is_dead:
+                self._seen_at[engine.name] = now
         entries = [
             self._entry(engine)
             for engine in self.by_name.values()
-            if not engine.is_dead
+            if now - self._seen_at.get(engine.name, now) <= self.lapse_s
         ]
         self.book.replace(entries, self.book.version + 1)
 
@@ -104,6 +111,7 @@
         """
         engine = self.by_name[upstream.name]
         if engine.is_dead:
+            await asyncio.sleep(SILENCE_S)
             raise errors.UpstreamError('silent', 'report', engine.name)
         entry = self._entry(engine)
         return deployment.EngineReport(
@@ -125,6 +133,7 @@
         self.orders.append(order)
         engine = self.by_name[upstream.name]
         if engine.is_dead:
+            await asyncio.sleep(SILENCE_S)
             return _orders.OrderOutcome(_orders.Verdict.UNKNOWN)
         if order.kind is Kind.JOIN:
             return self._join(engine, order)
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -140,12 +140,12 @@
     assert world.open_groups('big') == 1
     head = world.members('big')[0]
     member = world.engines.by_name[head].membership
-    assert world.control.unseen_heads() == {head: member}
+    assert world.control.heads.opened() == {head: member}
     await world.run(10.0)
     assert world.members('big')[0] == head
     world.engines.is_store_away = False
     await world.run(1.0)
-    assert world.control.unseen_heads() == {}
+    assert world.control.heads.opened() == {}
     assert world.members('big')[0] == head
 
 
@@ -185,3 +185,24 @@
     world.engines.is_store_away = False
     await world.run(2.0)
     assert world.open_groups('big') == 1
+
+
+async def test_spares_of_a_dead_domain_are_not_ordered():
+    """A domain that dies takes its spares along; their entries stay."""
+    world = _World({'d0': EMPTY, 'd1': EMPTY})
+    await world.run(10.0)
+    world.start_traffic()
+    world.engines.lapse_s = 4.0
+    dead = [name for name in world.engines.by_name if name.startswith('d0')]
+    for name in dead:
+        world.engines.by_name[name].is_dead = True
+    before = len(world.engines.orders)
+    for engine in list(world.engines.by_name.values()):
+        world.control.suspect(engine.name)
+    await world.run(3.0)
+    joins = [
+        order.upstream
+        for order in world.engines.orders[before:]
+        if order.kind is fake_engines.Kind.JOIN
+    ]
+    assert not set(joins) & set(dead)
