--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -34,7 +34,15 @@
         )
         self._reader = asyncio.ensure_future(self._read())
         before = len(self.lines)
-        await conftest.until(lambda: self.saw('node_started', before), 'start')
+        await conftest.until(
+            lambda: (
+                self.saw('node_started', before)
+                or self.proc.returncode is not None
+            ),
+            'start',
+        )
+        status = self.proc.returncode
+        assert status is None, f'ended with {status} while starting'
         (line,) = [
             one for one in self.lines[before:] if 'event=node_started' in one
         ]
