--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -330,6 +330,27 @@
         'if False:',
         'tests/edge/test_election.py',
     ),
+    Mutant(
+        'an order needs the lease when it is sent',
+        'plantainway/supply/_control.py',
+        'if upstream is None or not self._leadership.leads():',
+        'if upstream is None:',
+        'tests/supply/test_control.py',
+    ),
+    Mutant(
+        'epochs grow with the term',
+        'plantainway/supply/_control.py',
+        'return self._term * EPOCHS_PER_TERM + self._epochs',
+        'return self._epochs',
+        'tests/supply/test_control.py',
+    ),
+    Mutant(
+        'extension needs followers',
+        'plantainway/edge/_election.py',
+        '        if not self._hub.is_followed():\n            return\n',
+        '',
+        'tests/edge/test_election.py',
+    ),
     Mutant(
         'reports stand in for old entries',
         'plantainway/supply/_contacts.py',
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -206,3 +206,18 @@
         if order.kind is fake_engines.Kind.JOIN
     ]
     assert not set(joins) & set(dead)
+
+
+@pytest.mark.parametrize('held, sent', [(True, True), (False, False)])
+async def test_order_needs_the_lease_when_it_is_sent(held, sent):
+    """A lease that lapses between plan and sending stops the orders."""
+    world = _World({'d0': EMPTY})
+    for _step in range(10):
+        if not world.tasks:
+            world.engines.advance(STEP_S)
+            world.control.tick()
+    assert world.tasks
+    world.lease.held = held
+    while world.tasks:
+        await asyncio.gather(*world.tasks)
+    assert bool(world.engines.orders) == sent
