Log late event loops and late updates, to tell the hypotheses apart

- loop_late (late_ms, leads) and plantainway_loop_late_seconds;
- heartbeats are numbered and each update names the last one received and how long ago, so that a node bounds the way of an update on its own clock: updates_late, updates_in_time;
- plantainway_relayed_bytes; size and age in configuration_in_force.

No decision changes.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 
 import websockets
 from websockets.asyncio import client as ws_client
@@ -19,6 +20,7 @@
 ENCODED_REUSE_S = 0.1
 NODE_TIMEOUT_S = 1.2  # a node is live until its next heartbeat is this late
 LINK_TIMEOUT_S = 1.0  # two updates missed
+UPDATE_LATE_S = 0.5  # time on the way that is logged
 SUSPECT_VOTES_MIN = 2
 # A node that sent a heartbeat this recently does not seek another leader.
 FOLLOWER_TIMEOUT_S = 0.8
@@ -33,7 +35,8 @@
 class _NodeLink:
     """Leader's end of the link to one node, and what was sent over it.
 
-    ``sent_revisions`` holds the table revisions sent last, by table.
+    ``sent_revisions`` holds the table revisions sent last, by table,
+    ``beat_number`` and ``beat_at`` number and time of the last heartbeat.
     """
 
     def __init__(self, conn):
@@ -41,6 +44,15 @@
         self.sent_revisions: dict[str, int] = {}
         self.sent_nodes: list[_messages.NodeInfo] | None = None
         self.wake = asyncio.Event()
+        self.beat_number = 0
+        self.beat_at = 0.0
+
+    def ack(self, now: float) -> _messages.Ack:
+        """Returns the acknowledgement to send with the next update."""
+        if not self.beat_number:
+            return _messages.Ack(0, 0)
+        held_ms = int((now - self.beat_at) * 1000)
+        return _messages.Ack(self.beat_number, held_ms)
 
 
 class _EncodedUpdates:
@@ -75,6 +87,7 @@
             groups by head; set by the node.
         opened_heads: Function that returns the heads that serve although
             their table entry does not show it yet; set by the node.
+        sent_bytes: Bytes of all updates sent so far.
     """
 
     def __init__(self, node, leadership, tables, own_heartbeat, clock):
@@ -94,6 +107,7 @@
         self.disbanded_epochs = dict
         self.opened_heads = list
         self._links_at_renewal = 0
+        self.sent_bytes = 0
         for table in tables:
             table.on_change.append(self._wake_links)
 
@@ -252,8 +266,10 @@
             async for data in conn:
                 beat = _messages.decode(data, str(conn.remote_address))
                 name = beat.info.node
+                now = self._clock.now()
                 self._links[name] = link
-                self._heartbeats[name] = (self._clock.now(), beat)
+                link.beat_number, link.beat_at = beat.number, now
+                self._heartbeats[name] = (now, beat)
                 self._add_work(beat)
                 self._add_work(self._own_heartbeat())
                 for listener in self.on_heartbeat:
@@ -271,7 +287,9 @@
     async def _send_updates(self, link: _NodeLink) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
             while self._leadership.is_leader():
-                await link.conn.send(self._encode_update(link))
+                data = self._encode_update(link)
+                self.sent_bytes += len(data)
+                await link.conn.send(data)
                 link.wake.clear()
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(SEND_INTERVAL_S):
@@ -315,7 +333,7 @@
         link.sent_nodes = shared.nodes
         for item in self._tables:
             link.sent_revisions[item.name] = item.revision
-        return shared.encoded[key]
+        return _messages.encode_update(link.ack(now), shared.encoded[key])
 
     def _table_update(self, table, link: _NodeLink) -> _messages.TableUpdate:
         known = link.sent_revisions.get(table.name, -1)
@@ -360,6 +378,8 @@
         last_update: The last update from a leader.
         nodes: Live nodes as the leader last named them.
         sent_loads: Requests in progress by upstream in the last heartbeat.
+        update_delay_s: Longest time that the last update may have spent on
+            the way, together with the heartbeat that it acknowledges.
         on_update: Called with each update after its rows are applied.
     """
 
@@ -372,6 +392,8 @@
         self.last_update: _messages.LeaderUpdate | None = None
         self.nodes: list[_messages.NodeInfo] = []
         self.sent_loads: dict[str, int] = {}
+        self._beats_sent_at: dict[int, float] = {}
+        self.update_delay_s = 0.0
         self.on_update = []
 
     def send_soon(self) -> None:
@@ -387,6 +409,8 @@
         Args:
             address: ``IP:PORT`` of the leader's hub.
         """
+        # An update without an acknowledgement was sent after this.
+        self._beats_sent_at = {0: self._clock.now()}
         try:
             async with asyncio.timeout(LINK_TIMEOUT_S):
                 conn = await ws_client.connect(
@@ -408,7 +432,7 @@
             while True:
                 async with asyncio.timeout(LINK_TIMEOUT_S):
                     data = await conn.recv()
-                self._apply_update(_messages.decode(data, address))
+                self._apply_update(*_messages.decode_update(data, address))
         except (
             TimeoutError,
             OSError,
@@ -423,7 +447,11 @@
     async def _send_heartbeats(self, conn) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
             while True:
-                beat = self._own_heartbeat()
+                number = max(self._beats_sent_at) + 1
+                beat = dataclasses.replace(
+                    self._own_heartbeat(), number=number
+                )
+                self._beats_sent_at[number] = self._clock.now()
                 self.sent_loads = beat.loads
                 await conn.send(_messages.encode(beat))
                 self._wake.clear()
@@ -431,8 +459,31 @@
                     async with asyncio.timeout(SEND_INTERVAL_S):
                         await self._wake.wait()
 
-    def _apply_update(self, update) -> None:
+    def _record_delay(self, ack, update) -> None:
+        """Bounds the time that an update spent on the way, and logs it.
+
+        The leader sent it ``ack.held_ms`` after it had received a heartbeat,
+        whose sending time is known on this node's own clock.
+        """
+        beat_at = self._beats_sent_at.get(ack.number)
+        if beat_at is None:
+            raise errors.WireError(
+                'unknown heartbeat', 'update', update.leader
+            )
+        for number in [n for n in self._beats_sent_at if n < ack.number]:
+            del self._beats_sent_at[number]
+        was_late = self.update_delay_s >= UPDATE_LATE_S
+        self.update_delay_s = self._clock.now() - beat_at - ack.held_ms / 1000
+        if was_late != (self.update_delay_s >= UPDATE_LATE_S):
+            logs.event(
+                'updates_in_time' if was_late else 'updates_late',
+                leader=update.leader,
+                delay_ms=int(self.update_delay_s * 1000),
+            )
+
+    def _apply_update(self, ack, update) -> None:
         now = self._clock.now()
+        self._record_delay(ack, update)
         self.last_update_at = now
         self.last_update = update
         if update.nodes is not None:
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -1,6 +1,7 @@
 """Messages between the nodes and the leader, encoded as CBOR."""
 
 import dataclasses
+import struct
 
 import cbor2
 import pydantic
@@ -8,6 +9,9 @@
 from plantainway import errors
 
 MESSAGE_BYTES_MAX = 4 << 20  # a full configuration and all entries fit
+# Header of an update: number of the acknowledged heartbeat, milliseconds
+# since its receipt.
+_ACK = struct.Struct('>QI')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,7 +38,8 @@
     work requested of each model since the process started, in seconds of a
     group's time.
     ``store_age_ms`` is the time since the oldest of the node's table caches
-    was known to be current.
+    was known to be current. ``number`` counts the heartbeats on a link, from
+    1.
     """
 
     info: NodeInfo
@@ -42,6 +47,19 @@
     suspects: list[str]
     work: dict[str, float]
     store_age_ms: int = 0
+    number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack:
+    """Last heartbeat that the leader received before it sent an update.
+
+    ``number`` is 0 before the first one; ``held_ms`` is the time between its
+    receipt and the sending of the update.
+    """
+
+    number: int
+    held_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,3 +154,31 @@
         raise errors.WireError(type(exc).__name__, 'decode', peer)
     except (TypeError, ValueError, KeyError, RecursionError) as exc:
         raise errors.WireError(repr(exc)[:200], 'decode', peer)
+
+
+def encode_update(ack: Ack, update: bytes) -> bytes:
+    """Adds the acknowledgement for one node to an update.
+
+    Args:
+        ack: The acknowledgement.
+        update: Encoded update, which several nodes may share.
+    """
+    return _ACK.pack(ack.number, ack.held_ms) + update
+
+
+def decode_update(data: bytes, peer: str) -> tuple[Ack, LeaderUpdate]:
+    """Decodes an update with its acknowledgement.
+
+    Args:
+        data: Bytes received.
+        peer: Address of the leader, for error messages.
+
+    Raises:
+        WireError: If the bytes are not a valid update.
+    """
+    if len(data) < _ACK.size:
+        raise errors.WireError('update without a header', 'decode', peer)
+    update = decode(data[_ACK.size :], peer)
+    if not isinstance(update, LeaderUpdate):
+        raise errors.WireError('not an update', 'decode', peer)
+    return Ack(*_ACK.unpack_from(data)), update
--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -47,6 +47,14 @@
         for (kind, end), count in sorted(outcomes.end_counts.items()):
             ended.add_metric([kind, end], count)
         yield ended
+        yield core.CounterMetricFamily(
+            'plantainway_relayed_bytes',
+            'Bytes of updates sent to other nodes as leader',
+            state['relayed_bytes'],
+        )
+        yield self._node.loop_lateness.to_metric(
+            'plantainway_loop_late_seconds', 'Lateness of the event loop'
+        )
         yield outcomes.first_event_latency.to_metric(
             'plantainway_first_event_seconds', 'Time to the first event'
         )
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -12,9 +12,11 @@
 from plantainway.edge import _feeds
 from plantainway.edge import _fleet
 from plantainway.edge import _gossip
+from plantainway.edge import _lateness
 from plantainway.edge import _metrics
 from plantainway.edge import _view
 from plantainway import logs
+from plantainway import metrics
 from plantainway import platform
 from plantainway import traffic
 
@@ -65,6 +67,7 @@
             self._spawn(task.run())
         self._election.address = self.addresses['peer']
         self._spawn(self._election.run())
+        self._spawn(self._loop_monitor.run())
         logs.event(
             'node_started',
             node=self.cfg.node,
@@ -140,6 +143,9 @@
         self._leadership = cluster.Leadership(
             cfg.node, uuid.uuid4().hex[:8], self._store, clock
         )
+        self._loop_monitor = _lateness.LoopMonitor(
+            self._leadership.is_leader, clock
+        )
         self._hub = cluster.Hub(
             cfg.node,
             self._leadership,
@@ -365,9 +371,15 @@
             'queues': self._dependencies.heads.dump(),
             'nodes': [item.node for item in self._known_nodes()],
             'store_calls': self._store.call_count,
+            'relayed_bytes': self._hub.sent_bytes,
             'groups': self._controllers.dump(),
         }
 
+    @property
+    def loop_lateness(self) -> metrics.LatencyHistogram:
+        """Returns by how much the event loop ran its timers late."""
+        return self._loop_monitor.lateness
+
     @property
     def outcomes(self) -> traffic.OutcomeRecorder:
         """Returns the counters and durations of ended requests."""
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -116,6 +116,8 @@
             'configuration_in_force',
             version=cfg.version,
             row_version=row.version,
+            age_ms=int(self.config_table.age_s() * 1000),
+            bytes=len(row.value),
             services=len(cfg.services),
         )
 
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -6,6 +6,8 @@
 
 from plantainway import clock as clocks
 from plantainway import cluster
+from plantainway.cluster import _messages
+from plantainway import errors
 from plantainway import stores
 from tests.platform import conftest
 
@@ -203,3 +205,26 @@
     await conftest.until(
         lambda: changed in pair.link.nodes, 'changed node sent'
     )
+
+
+@pytest.mark.parametrize('beats', [0, 1, 3])
+async def test_update_acknowledges_last_heartbeat(pair, beats):
+    """The delay counts from the heartbeat that an update acknowledges."""
+    for _beat_number in range(beats):
+        before = max(pair.link._beats_sent_at)
+        pair.link.send_soon()
+        await conftest.until(
+            lambda before=before: max(pair.link._beats_sent_at) > before,
+            'heartbeat',
+        )
+    number = max(pair.link._beats_sent_at)
+    await conftest.until(
+        lambda: min(pair.link._beats_sent_at) >= number, 'acknowledged'
+    )
+    assert 0.0 <= pair.link.update_delay_s
+
+
+async def test_update_with_unknown_acknowledgement_ends_link(pair):
+    """An update for a heartbeat that was never sent is not applied."""
+    with pytest.raises(errors.WireError):
+        pair.link._apply_update(_messages.Ack(99, 0), pair.link.last_update)
