--- a/plantainway/cluster/__init__.py
+++ b/plantainway/cluster/__init__.py
@@ -4,6 +4,7 @@
 from plantainway.cluster._follower import TableCache
 from plantainway.cluster._hub import Hub
 from plantainway.cluster._hub import HubClient
+from plantainway.cluster._leadership import Holder
 from plantainway.cluster._leadership import Leadership
 from plantainway.cluster._leadership import RENEW_EVERY_S
 from plantainway.cluster._messages import Heartbeat
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -1,6 +1,8 @@
 """Tests of the links between the leader and the nodes, on loopback."""
 
 import asyncio
+import json
+import random
 
 import pytest
 
@@ -228,3 +230,113 @@
     """An update for a heartbeat that was never sent is not applied."""
     with pytest.raises(errors.WireError):
         pair.link._apply_update(_messages.Ack(99, 0), pair.link.last_update)
+
+
+NODES = 144  # beside the leader, at the size of the grown deployments
+UPSTREAMS = 230
+SMALL_UPLINK_BYTES_PER_S = 14e6 / 8  # of the smallest VMs
+CLIENT_GONE_S = 0.5  # a request ends this soon after its client has left
+CONFIGURATION_S = 3.0  # a configuration is in force everywhere by then
+
+
+def _upstream_entry(number):
+    entry = {
+        'service': 'llm',
+        'address': f'10.0.{number % 7}.{number}:8444',
+        'zone': 'a',
+        'slots': 25,
+        'state': 'ready',
+        'born': 1700000000000 + 977 * number,
+        'domain': f'd{number // 19}',
+        'staged': ['m0'],
+        'seq': 7 * number,
+        'group': {
+            'name': f'g{100000 + number // 8}',
+            'epoch': 100000 + number // 8,
+            'rank': number % 8,
+            'state': 'ready',
+        },
+        'models': [{'name': 'm0', 'version': 1, 'adapters': []}],
+    }
+    return json.dumps(entry).encode()
+
+
+async def _first_update_bytes(pair) -> int:
+    await pair.start()
+    await conftest.until(lambda: pair.link.last_update is not None, 'update')
+    await conftest.until(
+        lambda: pair.node_rows.version == pair.leader_rows.version, 'rows'
+    )
+    return pair.hub.sent_bytes
+
+
+async def test_nodes_that_hold_the_tables_do_not_fill_a_new_leaders_uplink():
+    """All nodes link to a small VM while it must still forward closes."""
+    pair = Pair()
+    rows = {f'i-{n:010x}': _upstream_entry(n) for n in range(UPSTREAMS)}
+    pair.load(7, **rows)
+    pair.node_rows.apply_snapshot(
+        stores.RowBatch(tuple(pair.leader_rows.rows.values()), 7),
+        pair.clock.now(),
+    )
+    pair.beats['n1'] = _beat('n1', loads={name: 3 for name in list(rows)[:30]})
+    sent = await _first_update_bytes(pair)
+    pair.task.cancel()
+    await pair.hub.close()
+    assert sent * NODES <= SMALL_UPLINK_BYTES_PER_S * CLIENT_GONE_S
+
+
+async def test_large_configuration_reaches_all_nodes_from_a_small_vm():
+    """A row of 1,700 routes passes a small uplink once for each node."""
+    rng = random.Random(5)
+    cfg = conftest.configuration(4)
+    cfg['routes'] = [
+        conftest.route(
+            f'r-{rng.randbytes(4).hex()}',
+            f'/{rng.randbytes(4).hex()}/',
+            'llm',
+            'stream',
+            host=f'{rng.randbytes(3).hex()}.example',
+            resumable=True,
+            gapTargetMs=200,
+        )
+        for _route in range(1700)
+    ]
+    pair = Pair()
+    pair.load(7, config=json.dumps(cfg, separators=(',', ':')).encode())
+    sent = await _first_update_bytes(pair)
+    pair.task.cancel()
+    await pair.hub.close()
+    assert sent * NODES <= SMALL_UPLINK_BYTES_PER_S * CONFIGURATION_S
+
+
+@pytest.mark.parametrize(
+    'beat_s, held_ms, age_ms, expected_s',
+    [
+        (0.0, 0, 100, 0.1),
+        (3.0, 0, 100, 3.1),  # three seconds on the way
+        (3.0, 2900, 100, 0.2),  # held by the leader, sent just now
+        (0.4, 400, 1200, 1.2),  # old at the leader already
+    ],
+)
+def test_relayed_table_is_as_old_as_its_way(
+    beat_s, held_ms, age_ms, expected_s
+):
+    """Rows that were delayed on the way are not taken for current."""
+    clock = clocks.ManualClock()
+    table = cluster.TableCache('t', clock)
+    link = cluster.HubClient([table], None, clock)
+    link._beats_sent_at = {1: clock.now()}
+    clock.advance(beat_s)
+    update = _messages.LeaderUpdate(
+        leader='n1',
+        lease_version=5,
+        nodes=None,
+        loads={},
+        suspects=[],
+        closed={},
+        opened=[],
+        tables=[_messages.TableUpdate('t', [], 1, True, age_ms)],
+    )
+    link._apply_update(_messages.Ack(1, held_ms), update)
+    assert table.age_s() == pytest.approx(expected_s)
--- a/tests/edge/test_election.py
+++ b/tests/edge/test_election.py
@@ -1,5 +1,6 @@
 """Tests of the election task during shutdowns and store outages."""
 
+import asyncio
 import random
 
 import pytest
@@ -8,6 +9,7 @@
 from plantainway import cluster
 from plantainway.edge import _election
 from plantainway import errors
+from tests.platform import conftest
 
 
 class _Leadership:
@@ -125,3 +127,108 @@
     setup.lease.is_store_down = True
     await setup.task.resign()
     assert not setup.lease.is_held
+
+
+class _FreeLease(_Leadership):
+    """Fake lease of a dead leader; a test sets when it has lapsed."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_held = False
+        self.has_lapsed = False
+        self.delays = []
+        self.holder = cluster.Holder('n9/1', '10.0.0.9:1', 1, 4)
+
+    async def read_lease(self):
+        """Does nothing: the row is unchanged."""
+
+    def may_acquire(self, delay_s):
+        """Returns whether the lease has lapsed, and records the delay."""
+        self.delays.append(delay_s)
+        return self.has_lapsed
+
+    async def acquire(self, _address):
+        """Takes the lease."""
+        self.is_held = True
+        return True
+
+
+class _Link:
+    """Fake link whose connection attempt never ends."""
+
+    def __init__(self, weights=()):
+        self.is_dialling = False
+        self.last_update_at = float('-inf')
+        self.nodes = [
+            cluster.NodeInfo(f'n{n}', f'n{n}:1', 'a', weight, True)
+            for n, weight in enumerate(weights)
+        ]
+
+    async def run_link(self, _address):
+        """Hangs, as a connection to a VM without power does."""
+        self.is_dialling = True
+        await asyncio.Event().wait()
+
+
+class _AdoptingHub(_Hub):
+    """Fake hub of a node that becomes the leader."""
+
+    def adopt_nodes(self, _nodes):
+        """Does nothing."""
+
+
+def _candidate(lease, link, capacity, seed=1):
+    return _election.ElectionTask(
+        lease,
+        _AdoptingHub(),
+        link,
+        clocks.MonotonicClock(),
+        random.Random(seed),
+        capacity,
+        asyncio.ensure_future,
+    )
+
+
+async def test_lapsed_lease_is_taken_while_dead_leader_is_dialled(
+    monkeypatch,
+):
+    """A preferred candidate does not lose its turn to a hanging connection."""
+    monkeypatch.setattr(_election, 'TICK_S', 0.01)
+    lease, link = _FreeLease(), _Link()
+    task = asyncio.ensure_future(_candidate(lease, link, 1.0).run())
+    await conftest.until(lambda: link.is_dialling, 'dialling')
+    lease.has_lapsed = True
+    try:
+        await conftest.until(lambda: lease.is_held, 'lease taken')
+    finally:
+        task.cancel()
+
+
+# Candidates learn of the last renewal within an update's interval of each
+# other, and look at the lease once a tick.
+OBSERVATION_SPREAD_S = 0.4 + _election.TICK_S
+
+
+@pytest.mark.parametrize(
+    'capacity, others, is_preferred',
+    [
+        (0.717, (0.361, 0.717), True),
+        (0.361, (0.361, 0.717), False),
+        (0.361, (0.361, 0.361), True),
+        (0.731, (0.731, 0.731), True),
+    ],
+)
+@pytest.mark.parametrize('seed', range(5))
+async def test_small_vm_leaves_the_lease_to_a_larger_one(
+    capacity, others, is_preferred, seed
+):
+    """A small VM waits until every larger one has had its turn."""
+    lease, link = _FreeLease(), _Link(others)
+    await _candidate(lease, link, capacity, seed)._try_acquire()
+    (delay_s,) = lease.delays
+    if is_preferred:
+        assert delay_s <= _election.CANDIDATE_DELAY_MAX_S
+    else:
+        assert delay_s > (
+            _election.CANDIDATE_DELAY_MAX_S + OBSERVATION_SPREAD_S
+        )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 from plantainway import errors
 from plantainway import platform
+from plantainway.platform import _store
 from plantainway import stores
 from tests.platform import store_standin
 
@@ -107,3 +108,19 @@
     assert (row.value if row else None) == stored
     if outcome is OUTCOME.COMMITTED:
         assert result.version == row.version
+
+
+@pytest.mark.parametrize('drip_s, is_read', [(0.05, True), (2.0, False)])
+async def test_answer_is_read_as_long_as_it_arrives(
+    server, client, monkeypatch, drip_s, is_read
+):
+    """A large row over a slow link is not given up half-way."""
+    monkeypatch.setattr(_store, 'CALL_TIMEOUT_S', 0.3)
+    server.put('op', 'config', {'routes': ['x' * 100] * 100})
+    server.faults.drip_s = drip_s
+    if is_read:
+        reading = await client.changes('op', 0, 0.0)
+        assert len(reading.rows) == 1
+        return
+    with pytest.raises(errors.StoreUnavailableError):
+        await client.changes('op', 0, 0.0)
