Count the way of an update in the age of its rows

CONFIG: a node answered 404 by a version that had been replaced more than 3 s before. A node that hears from its leader does not read the store, and it took relayed rows for as old as they were when the leader sent them. Updates that wait for seconds in the leader's uplink so looked current.

The age now counts from the earliest time at which the update can have been sent: the sending of the heartbeat that it acknowledges, on the node's own clock, plus the time that the leader held it. A late relay makes its tables look old, and the node reads the store after 1.3 s as it does without a leader.

No clock is compared between nodes.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -386,6 +386,13 @@
         'True',
         'tests/cluster/test_hub.py',
     ),
+    Mutant(
+        'rows that were delayed on the way are not taken for current',
+        'plantainway/cluster/_hub.py',
+        'as_of = sent_at - table_update',
+        'as_of = now - table_update',
+        'tests/cluster/test_hub.py',
+    ),
     Mutant(
         'a leader that paused past its lease does not extend it',
         'plantainway/cluster/_leadership.py',
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -459,31 +459,39 @@
                     async with asyncio.timeout(SEND_INTERVAL_S):
                         await self._wake.wait()
 
-    def _record_delay(self, ack, update) -> None:
-        """Bounds the time that an update spent on the way, and logs it.
+    def _earliest_sending(self, ack) -> float:
+        """Returns the earliest time at which an update can have been sent.
 
         The leader sent it ``ack.held_ms`` after it had received a heartbeat,
         whose sending time is known on this node's own clock.
+
+        Args:
+            ack: Acknowledgement in the update.
+
+        Returns:
+            Monotonic seconds.
         """
         beat_at = self._beats_sent_at.get(ack.number)
         if beat_at is None:
-            raise errors.WireError(
-                'unknown heartbeat', 'update', update.leader
-            )
+            raise errors.WireError('unknown heartbeat', 'update')
         for number in [n for n in self._beats_sent_at if n < ack.number]:
             del self._beats_sent_at[number]
+        return beat_at + ack.held_ms / 1000
+
+    def _record_delay(self, delay_s: float, leader: str) -> None:
         was_late = self.update_delay_s >= UPDATE_LATE_S
-        self.update_delay_s = self._clock.now() - beat_at - ack.held_ms / 1000
-        if was_late != (self.update_delay_s >= UPDATE_LATE_S):
+        self.update_delay_s = delay_s
+        if was_late != (delay_s >= UPDATE_LATE_S):
             logs.event(
                 'updates_in_time' if was_late else 'updates_late',
-                leader=update.leader,
-                delay_ms=int(self.update_delay_s * 1000),
+                leader=leader,
+                delay_ms=int(delay_s * 1000),
             )
 
     def _apply_update(self, ack, update) -> None:
         now = self._clock.now()
-        self._record_delay(ack, update)
+        sent_at = self._earliest_sending(ack)
+        self._record_delay(now - sent_at, update.leader)
         self.last_update_at = now
         self.last_update = update
         if update.nodes is not None:
@@ -492,7 +500,7 @@
             table = self._tables.get(table_update.table)
             if table is None:
                 continue
-            as_of = now - table_update.age_ms / 1000
+            as_of = sent_at - table_update.age_ms / 1000
             reading = stores.RowBatch(
                 tuple(
                     stores.RawRow(row.key, row.value, row.version)
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -76,7 +76,7 @@
     """Changes of a table, or all its rows if ``whole``.
 
     ``age_ms`` is the time between when the rows were known to be current
-    and the sending; the clocks of the nodes need not agree.
+    and the sending; the receiver adds the time on the way.
     """
 
     table: str
