Send nodes only what they lack, compressed

Updates then miss the link's time-out of 1 s, every node links anew and is sent everything again, and the leader's other traffic waits behind: closes to runners, reads of the store, its own clients.

- Heartbeats name the table versions that a node holds; the first update holds the rows after them and the keys of all rows.
- Updates over 512 bytes are compressed, once for all nodes that get the same.
- A link that ends no longer makes the leader send to all others at once.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -400,6 +400,27 @@
         'pass',
         'tests/platform/test_store.py',
     ),
+    Mutant(
+        'a new leader sends no rows that a node holds already',
+        'plantainway/cluster/_follower.py',
+        'if row.version > version]',
+        ']',
+        'tests/cluster/test_hub.py',
+    ),
+    Mutant(
+        'long updates are compressed',
+        'plantainway/cluster/_messages.py',
+        'if len(data) < COMPRESSED_BYTES_MIN:',
+        'if True:',
+        'tests/cluster/test_hub.py',
+    ),
+    Mutant(
+        'a compressed update is limited in size',
+        'plantainway/cluster/_messages.py',
+        'if not decompressor.eof:',
+        'if False:',
+        'tests/cluster/test_hub.py',
+    ),
     Mutant(
         'a leader that paused past its lease does not extend it',
         'plantainway/cluster/_leadership.py',
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -69,20 +69,26 @@
         if self._failing_since is None:
             self._failing_since = self._clock.now()
 
-    def apply_snapshot(self, reading, as_of: float) -> None:
+    def apply_snapshot(self, reading, as_of: float, keys=None) -> None:
         """Replaces the rows by a snapshot unless it is older than they are.
 
         Rows whose version is not higher stay as they are. Removals may be
         deferred.
 
         Args:
-            reading: Snapshot with all rows of the table.
+            reading: Snapshot of the table.
             as_of: Monotonic seconds at which it was current.
+            keys: Keys of all rows, if the snapshot leaves out rows that this
+                cache holds already; ``None`` if it has all rows.
         """
         if reading.version < self.version:
             return
         self._record_contact()
-        present = {row.key for row in reading.rows}
+        present = (
+            set(keys)
+            if keys is not None
+            else {row.key for row in reading.rows}
+        )
         removed_keys = [key for key in self.rows if key not in present]
         changed = [
             row
@@ -175,6 +181,15 @@
         for listener in self.on_change:
             listener(changed, removed)
 
+    def rows_after(self, version: int) -> list:
+        """Returns the rows that changed after a version of the table.
+
+        Args:
+            version: Version of the table that the receiver holds, -1 for
+                none.
+        """
+        return [row for row in self.rows.values() if row.version > version]
+
     def changes_since(self, revision: int) -> tuple[list, list] | None:
         """Returns the changes after a revision of this cache.
 
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -36,12 +36,14 @@
     """Leader's end of the link to one node, and what was sent over it.
 
     ``sent_revisions`` holds the table revisions sent last, by table,
+    ``versions`` the table versions that the node holds or was sent,
     ``beat_number`` and ``beat_at`` number and time of the last heartbeat.
     """
 
     def __init__(self, conn):
         self.conn = conn
         self.sent_revisions: dict[str, int] = {}
+        self.versions: dict[str, int] = {}
         self.sent_nodes: list[_messages.NodeInfo] | None = None
         self.wake = asyncio.Event()
         self.beat_number = 0
@@ -261,10 +263,13 @@
             return
         link = _NodeLink(conn)
         name = ''
-        sender = asyncio.ensure_future(self._send_updates(link))
+        sender = None
         try:
             async for data in conn:
                 beat = _messages.decode(data, str(conn.remote_address))
+                if sender is None:
+                    link.versions = dict(beat.versions)
+                    sender = asyncio.ensure_future(self._send_updates(link))
                 name = beat.info.node
                 now = self._clock.now()
                 self._links[name] = link
@@ -277,12 +282,14 @@
         except (websockets.ConnectionClosed, errors.WireError) as exc:
             logs.event('link_ended', 'INFO', peer=name, reason=repr(exc)[:100])
         finally:
-            sender.cancel()
+            if sender is not None:
+                sender.cancel()
             if self._links.get(name) is link:
                 del self._links[name]
-                # Not live without a link, until it reconnects.
+                # Not live without a link, until it reconnects. The others
+                # learn of it in their next update: links often end many at
+                # a time, and each change of the list goes to all nodes.
                 self._heartbeats.pop(name, None)
-                self.send_soon()
 
     async def _send_updates(self, link: _NodeLink) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
@@ -312,7 +319,11 @@
         shared = self._encoded_updates
         includes_nodes = shared.nodes != link.sent_nodes
         known = tuple(
-            (link.sent_revisions.get(item.name, -1), item.revision)
+            (
+                link.sent_revisions.get(item.name, -1),
+                link.versions.get(item.name, -1),
+                item.revision,
+            )
             for item in self._tables
         )
         key = (includes_nodes, known, self._leadership.version)
@@ -329,19 +340,22 @@
                     self._table_update(item, link) for item in self._tables
                 ],
             )
-            shared.encoded[key] = _messages.encode(update)
+            shared.encoded[key] = _messages.encode_update(update)
         link.sent_nodes = shared.nodes
         for item in self._tables:
             link.sent_revisions[item.name] = item.revision
-        return _messages.encode_update(link.ack(now), shared.encoded[key])
+            link.versions[item.name] = item.version
+        return _messages.address_update(link.ack(now), shared.encoded[key])
 
     def _table_update(self, table, link: _NodeLink) -> _messages.TableUpdate:
         known = link.sent_revisions.get(table.name, -1)
         changes = table.changes_since(known) if known >= 0 else None
-        is_snapshot = changes is None
-        rows, removed_keys = (
-            (table.rows.values(), ()) if is_snapshot else changes
-        )
+        keys = None
+        if changes is None:
+            rows = table.rows_after(link.versions.get(table.name, -1))
+            removed_keys, keys = (), list(table.rows)
+        else:
+            rows, removed_keys = changes
         return _messages.TableUpdate(
             table=table.name,
             rows=[
@@ -353,8 +367,8 @@
                 for key in removed_keys
             ],
             version=table.version,
-            whole=is_snapshot,
             age_ms=int(min(table.age_s() + ENCODED_REUSE_S, 3600.0) * 1000),
+            keys=keys,
         )
 
     def dump(self) -> dict:
@@ -449,7 +463,12 @@
             while True:
                 number = max(self._beats_sent_at) + 1
                 beat = dataclasses.replace(
-                    self._own_heartbeat(), number=number
+                    self._own_heartbeat(),
+                    number=number,
+                    versions={
+                        name: table.version
+                        for name, table in self._tables.items()
+                    },
                 )
                 self._beats_sent_at[number] = self._clock.now()
                 self.sent_loads = beat.loads
@@ -508,8 +527,8 @@
                 ),
                 table_update.version,
             )
-            if table_update.whole:
-                table.apply_snapshot(reading, as_of)
+            if table_update.keys is not None:
+                table.apply_snapshot(reading, as_of, table_update.keys)
             else:
                 table.apply_changes(reading, as_of)
         for listener in self.on_update:
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import struct
+import zlib
 
 import cbor2
 import pydantic
@@ -12,6 +13,9 @@
 # Header of an update: number of the acknowledged heartbeat, milliseconds
 # since its receipt.
 _ACK = struct.Struct('>QI')
+_PLAIN, _COMPRESSED = b'\0', b'\1'  # first byte of an encoded update
+COMPRESSED_BYTES_MIN = 512  # shorter updates fit one packet as they are
+COMPRESSION_LEVEL = 1  # higher ones save a few percent on JSON rows
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,7 +43,7 @@
     group's time.
     ``store_age_ms`` is the time since the oldest of the node's table caches
     was known to be current. ``number`` counts the heartbeats on a link, from
-    1.
+    1. ``versions`` are those of the tables that the node holds, by table.
     """
 
     info: NodeInfo
@@ -48,6 +52,7 @@
     work: dict[str, float]
     store_age_ms: int = 0
     number: int = 0
+    versions: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,8 +78,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableUpdate:
-    """Changes of a table, or all its rows if ``whole``.
+    """Changes of a table since the version that the receiver holds.
 
+    ``keys`` are those of all rows; the receiver drops others. It is ``None``
+    if ``rows`` name the removed ones.
     ``age_ms`` is the time between when the rows were known to be current
     and the sending; the receiver adds the time on the way.
     """
@@ -82,8 +89,8 @@
     table: str
     rows: list[RelayedRow]
     version: int
-    whole: bool
     age_ms: int
+    keys: list[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,14 +163,26 @@
         raise errors.WireError(repr(exc)[:200], 'decode', peer)
 
 
-def encode_update(ack: Ack, update: bytes) -> bytes:
+def encode_update(update: LeaderUpdate) -> bytes:
+    """Encodes an update, compressed unless it is short.
+
+    Args:
+        update: The update.
+    """
+    data = encode(update)
+    if len(data) < COMPRESSED_BYTES_MIN:
+        return _PLAIN + data
+    return _COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
+
+
+def address_update(ack: Ack, encoded: bytes) -> bytes:
     """Adds the acknowledgement for one node to an update.
 
     Args:
         ack: The acknowledgement.
-        update: Encoded update, which several nodes may share.
+        encoded: Encoded update, which several nodes may share.
     """
-    return _ACK.pack(ack.number, ack.held_ms) + update
+    return _ACK.pack(ack.number, ack.held_ms) + encoded
 
 
 def decode_update(data: bytes, peer: str) -> tuple[Ack, LeaderUpdate]:
@@ -176,9 +195,27 @@
     Raises:
         WireError: If the bytes are not a valid update.
     """
-    if len(data) < _ACK.size:
+    if len(data) <= _ACK.size:
         raise errors.WireError('update without a header', 'decode', peer)
-    update = decode(data[_ACK.size :], peer)
+    body = data[_ACK.size + 1 :]
+    if data[_ACK.size : _ACK.size + 1] == _COMPRESSED:
+        body = _decompress(body, peer)
+    update = decode(body, peer)
     if not isinstance(update, LeaderUpdate):
         raise errors.WireError('not an update', 'decode', peer)
     return Ack(*_ACK.unpack_from(data)), update
+
+
+def _decompress(data: bytes, peer: str) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(data, MESSAGE_BYTES_MAX)
+    except zlib.error as exc:
+        raise errors.WireError(repr(exc), 'decode', peer)
+    if not decompressor.eof:
+        raise errors.WireError(
+            f'update cut short, or longer than {MESSAGE_BYTES_MAX} bytes',
+            'decode',
+            peer,
+        )
+    return body
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import zlib
 
 import pytest
 
@@ -32,6 +33,15 @@
     return cluster.Heartbeat(info, **fields)
 
 
+def _snapshot(version, **rows):
+    return stores.RowBatch(
+        tuple(
+            stores.RawRow(key, value, version) for key, value in rows.items()
+        ),
+        version,
+    )
+
+
 class Pair:
     """A leader's hub and one node's link to it."""
 
@@ -56,14 +66,7 @@
     def load(self, version, **rows):
         """Applies a snapshot to the leader's table."""
         self.leader_rows.apply_snapshot(
-            stores.RowBatch(
-                tuple(
-                    stores.RawRow(key, value, version)
-                    for key, value in rows.items()
-                ),
-                version,
-            ),
-            self.clock.now(),
+            _snapshot(version, **rows), self.clock.now()
         )
 
     async def start(self):
@@ -336,7 +339,72 @@
         suspects=[],
         closed={},
         opened=[],
-        tables=[_messages.TableUpdate('t', [], 1, True, age_ms)],
+        tables=[_messages.TableUpdate('t', [], 1, age_ms, [])],
     )
     link._apply_update(_messages.Ack(1, held_ms), update)
     assert table.age_s() == pytest.approx(expected_s)
+
+
+@pytest.mark.parametrize(
+    'held, held_version',
+    [
+        ({}, -1),
+        ({'a': b'1'}, 1),  # lacks a change
+        ({'a': b'1', 'x': b'9'}, 1),  # has a row that was removed since
+        ({'a': b'1', 'b': b'2'}, 2),  # lacks nothing
+        ({'b': b'3'}, 3),  # is newer than the leader
+    ],
+)
+async def test_node_links_with_tables_of_another_version(held, held_version):
+    """The node ends up with the leader's rows unless its own are newer."""
+    pair = Pair()
+    pair.load(1, a=b'1')
+    pair.leader_rows.apply_changes(
+        stores.RowBatch((stores.RawRow('b', b'2', 2),), 2), pair.clock.now()
+    )
+    if held:
+        pair.node_rows.apply_snapshot(
+            _snapshot(held_version, **held), pair.clock.now()
+        )
+    await pair.start()
+    await conftest.until(lambda: pair.link.last_update is not None, 'update')
+    pair.task.cancel()
+    await pair.hub.close()
+    values = {row.key: row.value for row in pair.node_rows.rows.values()}
+    assert values == (held if held_version > 2 else {'a': b'1', 'b': b'2'})
+    assert pair.node_rows.version == max(held_version, 2)
+    (sent,) = pair.link.last_update.tables
+    assert len(sent.rows) == {-1: 2, 1: 1, 2: 0, 3: 0}[held_version]
+
+
+async def test_ended_links_do_not_wake_the_others(pair):
+    """Many links that end together do not multiply the updates sent."""
+    other = cluster.HubClient(
+        [cluster.TableCache('t', pair.clock)],
+        lambda: _beat('n3'),
+        pair.clock,
+    )
+    host, port = pair.hub._server.sockets[0].getsockname()[:2]
+    task = asyncio.ensure_future(other.run_link(f'{host}:{port}'))
+    await conftest.until(lambda: 'n3' in pair.hub._links, 'n3 linked')
+    wake = pair.hub._links['n2'].wake
+    task.cancel()
+    await conftest.until(lambda: 'n3' not in pair.hub._links, 'n3 gone')
+    assert not wake.is_set()
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'0' * 12,
+        b'0' * 12 + b'\1not compressed',
+        b'0' * 12 + b'\1' + zlib.compress(b'x' * (5 << 20))[:-9],
+        b'0' * 12 + b'\1' + zlib.compress(b'x' * (5 << 20)),
+        b'0' * 12 + b'\0' + _messages.encode(_beat('n1')),
+    ],
+)
+def test_invalid_update_is_refused(data):
+    """A message that is no update, or too long once decompressed."""
+    with pytest.raises(errors.WireError):
+        _messages.decode_update(data, 'n1')
