Leave the lease to larger nodes, and watch it while the leader is dialled

A small VM has neither the uplink nor the processor to lead 144 nodes.

Cause: larger candidates had a head start of 0.2 s at most, since 0.717 of a core was compared with a whole one. A candidate saw that the lease had lapsed only when its attempt to reach the dead leader timed out, after up to 1.25 s. So a small VM often came first.

A candidate now looks at the lease in each tick until a link stands and brings updates, and its head start depends on the capacities of the nodes that the last leader named: half of the largest one's waits 0.9 s longer, equal ones not at all.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -421,6 +421,20 @@
         'if False:',
         'tests/cluster/test_hub.py',
     ),
+    Mutant(
+        'the lease is watched while the leader is dialled',
+        'plantainway/edge/_election.py',
+        '            and self._leader_link.is_receiving\n',
+        '',
+        'tests/edge/test_election.py',
+    ),
+    Mutant(
+        'small nodes leave the lease to larger ones',
+        'plantainway/edge/_election.py',
+        '2 * HALF_CAPACITY_DELAY_S * missing',
+        '0.0',
+        'tests/edge/test_election.py',
+    ),
     Mutant(
         'a leader that paused past its lease does not extend it',
         'plantainway/cluster/_leadership.py',
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -392,6 +392,7 @@
         last_update: The last update from a leader.
         nodes: Live nodes as the leader last named them.
         sent_loads: Requests in progress by upstream in the last heartbeat.
+        is_receiving: Whether a link stands and has brought an update.
         update_delay_s: Longest time that the last update may have spent on
             the way, together with the heartbeat that it acknowledges.
         on_update: Called with each update after its rows are applied.
@@ -407,6 +408,7 @@
         self.nodes: list[_messages.NodeInfo] = []
         self.sent_loads: dict[str, int] = {}
         self._beats_sent_at: dict[int, float] = {}
+        self.is_receiving = False
         self.update_delay_s = 0.0
         self.on_update = []
 
@@ -447,6 +449,7 @@
                 async with asyncio.timeout(LINK_TIMEOUT_S):
                     data = await conn.recv()
                 self._apply_update(*_messages.decode_update(data, address))
+                self.is_receiving = True
         except (
             TimeoutError,
             OSError,
@@ -455,6 +458,7 @@
         ) as exc:
             logs.event('leader_lost', peer=address, reason=repr(exc)[:100])
         finally:
+            self.is_receiving = False
             sender.cancel()
             conn.transport.abort()
 
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -12,8 +12,13 @@
 # the duration of a renewal are normal.
 RENEWAL_LATE_S = 0.4
 CANDIDATE_DELAY_MAX_S = 0.2  # random, so that candidates do not collide
-# Candidates with less than a whole core wait up to this much longer.
-LOW_CAPACITY_DELAY_S = 0.6
+# Before the other nodes are known, candidates with less than a whole core
+# wait up to this much longer.
+START_DELAY_S = 0.6
+# Once they are known, a candidate with half the capacity of the largest node
+# waits this much longer: until each larger one has seen that the lease has
+# lapsed, for which an update's interval and a tick may pass.
+HALF_CAPACITY_DELAY_S = 0.9
 
 
 class ElectionTask:
@@ -45,11 +50,8 @@
         self._leader_link = link
         self._clock = clock
         self._spawn = spawn
-        # Prefers nodes with a whole core: the CPU time and traffic of the
-        # leader grow with the number of nodes.
-        self._candidate_delay_s = rng.uniform(0.0, CANDIDATE_DELAY_MAX_S) + (
-            LOW_CAPACITY_DELAY_S * max(1.0 - capacity, 0.0)
-        )
+        self._capacity = capacity
+        self._random_delay_s = rng.uniform(0.0, CANDIDATE_DELAY_MAX_S)
         self._renew_at = 0.0
         self._renewed_at = float('-inf')
         self._is_extended = False
@@ -65,12 +67,37 @@
             try:
                 if self._leadership.is_leader():
                     await self._renew()
-                elif self._link_task is None or self._link_task.done():
+                elif not self._is_following():
                     await self._acquire_or_follow()
             except errors.StoreUnavailableError as exc:
                 logs.event('lease_unreadable', reason=exc.message)
             await asyncio.sleep(TICK_S)
 
+    def _is_following(self) -> bool:
+        """Returns whether a leader sends this node updates.
+
+        False while a link is being opened: the connection to a dead leader
+        hangs for longer than other candidates wait.
+        """
+        return (
+            self._link_task is not None
+            and not self._link_task.done()
+            and self._leader_link.is_receiving
+        )
+
+    def _candidate_delay_s(self) -> float:
+        """Returns how long to leave a free lease to other candidates.
+
+        Prefers large nodes, since the processor time and the traffic of the
+        leader grow with the number of nodes.
+        """
+        known = [item.weight for item in self._leader_link.nodes]
+        if known:
+            missing = max(1.0 - self._capacity / max(known), 0.0)
+            return self._random_delay_s + 2 * HALF_CAPACITY_DELAY_S * missing
+        missing = max(1.0 - self._capacity, 0.0)
+        return self._random_delay_s + START_DELAY_S * missing
+
     async def _renew(self) -> None:
         if self._clock.now() < self._renew_at:
             return
@@ -150,11 +177,13 @@
         """
         leadership = self._leadership
         if self._is_leaving or not leadership.may_acquire(
-            self._candidate_delay_s
+            self._candidate_delay_s()
         ):
             return False
         if not await leadership.acquire(self.address):
             return False
+        if self._link_task is not None:
+            self._link_task.cancel()
         self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
         self._hub.adopt_nodes(self._leader_link.nodes)
         self._record_renewal()
@@ -165,6 +194,8 @@
         holder = self._leadership.holder
         if holder is None or not holder.node:
             return
+        if self._link_task is not None and not self._link_task.done():
+            return
         if holder.address != self.address:
             self._link_task = self._spawn(
                 self._leader_link.run_link(holder.address)
--- a/tests/edge/test_election.py
+++ b/tests/edge/test_election.py
@@ -158,7 +158,7 @@
 
     def __init__(self, weights=()):
         self.is_dialling = False
-        self.last_update_at = float('-inf')
+        self.is_receiving = False
         self.nodes = [
             cluster.NodeInfo(f'n{n}', f'n{n}:1', 'a', weight, True)
             for n, weight in enumerate(weights)
