Cut off answers of runners that do not end

A runner in trouble may send bytes that are no answer until its caller closes.

Now a body is read up to 4 MiB, one event of a stream up to 1 MiB, the body of a failed stream for 1 s, that of a refusal for 0.2 s; a refusal stays one whatever its body does.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -435,6 +435,20 @@
         '0.0',
         'tests/edge/test_election.py',
     ),
+    Mutant(
+        'a body without end is cut off',
+        'plantainway/platform/_upstreams.py',
+        'if size > RESPONSE_BYTES_MAX:',
+        'if False:',
+        'tests/platform/test_node_requests.py',
+    ),
+    Mutant(
+        'a refusal whose body does not end stays a refusal',
+        'plantainway/traffic/_plain.py',
+        'if upstream_response.not_run:\n                    await',
+        'if False:\n                    await',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a leader that paused past its lease does not extend it',
         'plantainway/cluster/_leadership.py',
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -19,6 +19,7 @@
 TCP_USER_TIMEOUT_MS = 4000  # unacknowledged data for longer: peer is lost
 ORDER_TIMEOUT_S = 0.8  # an order is accepted within about 10 ms
 REPORT_TIMEOUT_S = 0.25  # a report needs no slot and takes about 10 ms
+RESPONSE_BYTES_MAX = 4 << 20  # of a body that is read as a whole
 DEADLINE_MARGIN_MS = 5  # for returning the answer to the client
 STATUS_MISDIRECTED = 421  # another upstream has the address now
 SKIPPED_AUTO_HEADERS = (
@@ -110,7 +111,15 @@
     async def read(self) -> bytes:
         """Returns the whole body; see the base class."""
         parts = []
+        size = 0
         while data := await self.next_chunk():
+            size += len(data)
+            if size > RESPONSE_BYTES_MAX:
+                raise errors.UpstreamError(
+                    f'response body exceeds {RESPONSE_BYTES_MAX} bytes',
+                    'body',
+                    self._peer,
+                )
             parts.append(data)
         return b''.join(parts)
 
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -142,10 +142,16 @@
                 self._attempt_timeout_s(route, deadline, is_unsafe, is_last)
             ):
                 upstream_response = await deps.client.send(attempt)
-                body = await upstream_response.read()
+                if upstream_response.not_run:
+                    await upstream_response.discard()
+                else:
+                    body = await upstream_response.read()
         except TimeoutError:
             deps.record_failure(upstream, 'no response in time')
-            return _AttemptResult(None, True, 'no response in time')
+            was_refused = (
+                upstream_response is not None and upstream_response.not_run
+            )
+            return _AttemptResult(None, not was_refused, 'no response in time')
         except errors.UpstreamError as exc:
             deps.record_failure(upstream, exc.message, eject_now=not exc.sent)
             return _AttemptResult(None, exc.sent, exc.message)
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -20,6 +20,8 @@
 # Lowest number of a new stream; engines accept 0 to 9, 0 goes first.
 PRIORITY_NEW_STREAM = 3
 STALL_RECHECK_S = 0.1  # while a stalled stream may not be moved
+ERROR_BODY_TIMEOUT_S = 1.0  # for the body of a failure, some hundred bytes
+EVENT_BYTES_MAX = 1 << 20  # an event holds a few tokens
 
 
 class _AttemptResult(enum.Enum):
@@ -359,9 +361,9 @@
     ) -> _AttemptResult:
         """Handles a status other than 200; updates the state of the head."""
         deps, head = self._deps, reservation.head
-        body = await response.read()
         state.reason = f'status {response.status}'
         if response.not_run:
+            await response.discard()
             if response.misdirected:
                 deps.heads.mark_closed(head)
             elif response.failed_upstream:
@@ -374,6 +376,15 @@
                 deps.heads.mark_full(reservation)
             return _AttemptResult.NOT_RUN
         state.runs += 1
+        try:
+            async with asyncio.timeout(ERROR_BODY_TIMEOUT_S):
+                body = await response.read()
+        except TimeoutError:
+            raise errors.UpstreamError(
+                f'body of status {response.status} did not end',
+                'body',
+                head.name,
+            )
         state.error_response = _types.Response(
             response.status, response.headers, body
         )
@@ -390,6 +401,10 @@
         is_first_chunk = True
         while chunk := await response.next_chunk():
             events = splitter.feed(chunk)
+            if len(splitter.remainder) > EVENT_BYTES_MAX:
+                raise errors.UpstreamError(
+                    f'event exceeds {EVENT_BYTES_MAX} bytes', 'body', head.name
+                )
             if not events:
                 continue
             now = deps.clock.now()
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -1,9 +1,14 @@
 """Requests, responses, and interfaces to clients and upstreams."""
 
 import abc
+import asyncio
 import dataclasses
 
 from plantainway import deployment
+from plantainway import errors
+from plantainway import logs
+
+DISCARD_TIMEOUT_S = 0.2  # the body of a refusal follows its head at once
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,8 +100,20 @@
         """Returns the complete body.
 
         Raises:
-            UpstreamError: If the body is truncated.
+            UpstreamError: If the body is truncated or too long.
+        """
+
+    async def discard(self) -> None:
+        """Reads a short body, so that the connection can be used again.
+
+        For refusals, whose head says all: whether the body is truncated or
+        does not end makes no difference.
         """
+        try:
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                await self.read()
+        except (TimeoutError, errors.UpstreamError) as exc:
+            logs.event('refusal_body_unread', reason=repr(exc)[:100])
 
     @abc.abstractmethod
     async def next_chunk(self) -> bytes:
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -12,6 +12,7 @@
 import struct
 
 EVENT_S = 0.01
+ENDLESS_PAUSE_S = 0.002  # about 30 MB/s
 
 
 @dataclasses.dataclass
@@ -19,7 +20,8 @@
     """A request as the runner received it.
 
     ``cancelled`` is set once the client closes the connection of a request
-    that is left unanswered.
+    that is left unanswered or whose answer does not end; ``sent_bytes``
+    counts the bytes of such an answer.
     """
 
     method: str
@@ -27,6 +29,7 @@
     headers: dict[str, str]
     body: bytes
     cancelled: bool = False
+    sent_bytes: int = 0
 
 
 @dataclasses.dataclass
@@ -43,7 +46,12 @@
     - ``not_run``: a refusal with Not-Executed;
     - ``error``: status 500;
     - ``reset``: a connection reset before any answer;
-    - ``hang``: no answer.
+    - ``hang``: no answer;
+    - ``endless_head``, ``endless_field``, ``endless_fields``,
+      ``endless_interim``: bytes without a line end, a header field, header
+      fields or interim answers until the client closes the connection;
+    - ``endless_body``, ``endless_refusal``, ``endless_error``: the body of a
+      success, of a refusal with Not-Executed or of status 500 does not end.
 
     ``stream_end`` is ``whole`` for a complete stream. Otherwise the stream
     ends after ``events`` events: with a connection reset (``reset``), with a
@@ -233,6 +241,8 @@
             raise _Closed
         elif answer_mode == 'hang':
             await self._wait_for_close(reader, seen)
+        elif answer_mode in _ENDLESS:
+            await self._send_without_end(writer, seen, headers, answer_mode)
         elif answer_mode == 'other_id':
             headers[0] = ('Request-Id', 'another')
             _send(writer, 200, headers, self.body)
@@ -260,6 +270,25 @@
         seen.cancelled = True
         raise _Closed
 
+    async def _send_without_end(self, writer, seen, headers, mode) -> None:
+        status, filler = _ENDLESS[mode]
+        if status:
+            if mode == 'endless_refusal':
+                headers = [('Not-Executed', '1')]
+            _send(writer, status, headers, b'', framed=False)
+        elif mode in ('endless_field', 'endless_fields'):
+            writer.write(b'HTTP/1.1 200 OK\r\nX: y')
+        try:
+            while not writer.is_closing():
+                writer.write(filler)
+                await writer.drain()
+                seen.sent_bytes += len(filler)
+                await asyncio.sleep(ENDLESS_PAUSE_S)
+        except ConnectionError:
+            pass
+        seen.cancelled = True
+        raise _Closed
+
     async def _stream(self, reader, writer, seen, headers) -> None:
         headers.append(('Content-Type', 'text/event-stream'))
         headers.append(('Transfer-Encoding', 'chunked'))
@@ -285,6 +314,18 @@
         writer.write(b'0\r\n\r\n')
 
 
+# Status, 0 for none, and the bytes that are sent again and again.
+_ENDLESS = {
+    'endless_head': (0, b'\xfe' * 65536),
+    'endless_field': (0, b'y' * 65536),
+    'endless_fields': (0, b'\r\nX: y' * 10000),
+    'endless_interim': (0, b'HTTP/1.1 100 Continue\r\n\r\n' * 2000),
+    'endless_body': (200, b'z' * 65536),
+    'endless_refusal': (503, b'z' * 65536),
+    'endless_error': (500, b'z' * 65536),
+}
+
+
 class _Closed(Exception):
     """Ends the handler of a connection that is closed."""
 
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -220,6 +220,51 @@
     )
 
 
+# Bytes that a runner can send before the node closes the connection: the
+# longest body that is read, and what the sockets hold.
+ENDLESS_BYTES_MAX = 16 << 20
+
+
+@pytest.mark.parametrize(
+    'path, answer_mode, statuses',
+    [
+        ('/safe/x', 'endless_head', (502,)),
+        ('/safe/x', 'endless_field', (502,)),
+        ('/safe/x', 'endless_fields', (502,)),
+        ('/safe/x', 'endless_interim', (502, 504)),
+        ('/safe/x', 'endless_body', (502, 504)),
+        ('/safe/x', 'endless_refusal', (503,)),
+        ('/safe/x', 'endless_error', (502, 504)),
+        ('/unsafe/x', 'endless_head', (502,)),
+        ('/unsafe/x', 'endless_field', (502,)),
+        ('/unsafe/x', 'endless_fields', (502,)),
+        ('/unsafe/x', 'endless_interim', (502, 504)),
+        ('/unsafe/x', 'endless_body', (502, 504)),
+        ('/unsafe/x', 'endless_refusal', (503,)),
+        ('/unsafe/x', 'endless_error', (502, 504)),
+        ('/stream/x', 'endless_head', (502,)),
+        ('/stream/x', 'endless_interim', (502, 504)),
+        ('/stream/x', 'endless_body', (502, 504)),
+        ('/stream/x', 'endless_refusal', (503,)),
+        ('/stream/x', 'endless_error', (502, 504)),
+    ],
+)
+async def test_answer_without_end_is_cut_off(
+    node, runners, client, path, answer_mode, statuses
+):
+    """Bytes without end cost neither the node's memory nor a false 503."""
+    for runner in runners.values():
+        runner.faults.answer = answer_mode
+    got = await conftest.send_request(client, node, path, **STREAM)
+    assert got.status in statuses
+    received = _received_requests(runners, '')
+    assert received
+    await conftest.until(
+        lambda: all(seen.cancelled for seen in received), 'closed'
+    )
+    assert max(seen.sent_bytes for seen in received) <= ENDLESS_BYTES_MAX
+
+
 async def test_node_without_a_configuration_answers_503(store, client):
     """Without a configuration a node answers 503 and is not ready."""
     store.put('op', 'config', None)
