Test that a failed stream with an unreadable body counts as a run

Found beside the answers without end, by reading: the run of a stream that failed with status 500 was counted only once its body had been read. With a truncated body it was not counted at all: a stream that must not run twice was sent again, and its client got 503, which says that nothing ran.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -449,6 +449,13 @@
         'if False:\n                    await',
         'tests/platform/test_node_requests.py',
     ),
+    Mutant(
+        'a failure counts as a run before its body is read',
+        'plantainway/traffic/_stream.py',
+        'state.runs += 1\n        try:',
+        'try:',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a leader that paused past its lease does not extend it',
         'plantainway/cluster/_leadership.py',
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -45,6 +45,7 @@
                 resumable=True,
                 gapTargetMs=300,
             ),
+            route('once', '/once/', 'llm', 'stream', resumable=False),
             route('open', '/open/', 'plain', 'safe', anonymous=True),
         ],
         'services': [
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -45,6 +45,7 @@
     - ``other_id``: the Request-Id of another request;
     - ``not_run``: a refusal with Not-Executed;
     - ``error``: status 500;
+    - ``error_truncated``: status 500 with a truncated body;
     - ``reset``: a connection reset before any answer;
     - ``hang``: no answer;
     - ``endless_head``, ``endless_field``, ``endless_fields``,
@@ -236,6 +237,11 @@
             _send(writer, 503, [('Not-Executed', '1')], b'')
         elif answer_mode == 'error':
             _send(writer, 500, headers, b'failed')
+        elif answer_mode == 'error_truncated':
+            headers.append(('Content-Length', '100'))
+            _send(writer, 500, headers, b'failed', framed=False)
+            writer.close()
+            raise _Closed
         elif answer_mode == 'reset':
             _reset(writer)
             raise _Closed
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -220,6 +220,27 @@
     )
 
 
+@pytest.mark.parametrize(
+    'path, answer_mode, runs',
+    [
+        ('/once/x', 'error', 1),
+        ('/once/x', 'error_truncated', 1),
+        ('/once/x', 'endless_error', 1),
+        ('/once/x', 'reset', 1),
+        ('/stream/x', 'error_truncated', 2),
+    ],
+)
+async def test_stream_that_may_have_run_is_not_run_again(
+    node, runners, client, path, answer_mode, runs
+):
+    """A failure counts as a run even if its body cannot be read."""
+    for runner in runners.values():
+        runner.faults.answer = answer_mode
+    got = await conftest.send_request(client, node, path, **STREAM)
+    assert got.status in (500, 502)
+    assert len(_received_requests(runners, 'e-')) == runs
+
+
 # Bytes that a runner can send before the node closes the connection: the
 # longest body that is read, and what the sockets hold.
 ENDLESS_BYTES_MAX = 16 << 20
