Test the other moments at which a client leaves

A client that leaves in mid-stream, while its request waits for capacity, or between two attempts: each ends at the runner, and nothing is sent afterwards.

--- a/plantainway/traffic/__init__.py
+++ b/plantainway/traffic/__init__.py
@@ -4,6 +4,7 @@
 from plantainway.traffic._gateway import Dependencies
 from plantainway.traffic._gateway import Gateway
 from plantainway.traffic._heads import HeadPool
+from plantainway.traffic._heads import MAX_QUEUED_PER_GROUP
 from plantainway.traffic._health import HealthTracker
 from plantainway.traffic._loads import LoadTracker
 from plantainway.traffic._outcomes import OutcomeRecorder
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from plantainway import edge
+from plantainway import traffic
 from tests.platform import conftest
 from tests.platform import runner_standin
 
@@ -286,6 +287,91 @@
     assert max(seen.sent_bytes for seen in received) <= ENDLESS_BYTES_MAX
 
 
+async def _leave_when(response_task, check) -> None:
+    """Closes a client's connection once a condition holds."""
+    await conftest.until(check, 'moment to leave')
+    response_task.cancel()
+
+
+async def test_client_that_leaves_mid_stream_ends_the_run(
+    node, runners, client
+):
+    """A stream that has begun ends at the runner with its client."""
+    for runner in runners.values():
+        runner.faults.events = 2
+        runner.faults.stream_end = 'silent'
+    response_task = asyncio.ensure_future(
+        conftest.send_request(client, node, '/once/x', **STREAM)
+    )
+    await conftest.until(lambda: _received_requests(runners, 'e-'), 'run')
+    await asyncio.sleep(0.1)
+    response_task.cancel()
+    await conftest.until(
+        lambda: all(
+            seen.cancelled for seen in _received_requests(runners, 'e-')
+        ),
+        'run ended',
+    )
+
+
+async def test_queued_request_is_dropped_when_its_client_leaves(
+    node, runners, client
+):
+    """A request that waits for capacity is not sent after its client left."""
+    for runner in runners.values():
+        runner.faults.answer = 'hang'
+    capacity = 2 * (4 + traffic.MAX_QUEUED_PER_GROUP)
+    running = [
+        asyncio.ensure_future(
+            conftest.send_request(
+                client, node, '/stream/x', request_id=f'r-{n}', **STREAM
+            )
+        )
+        for n in range(capacity)
+    ]
+    await conftest.until(
+        lambda: len(_received_requests(runners, 'e-')) == capacity, 'all full'
+    )
+    waiting = asyncio.ensure_future(
+        conftest.send_request(
+            client, node, '/stream/x', request_id='late', **STREAM
+        )
+    )
+    await _leave_when(
+        waiting, lambda: sum(node.dump()['queues'].values()) == 1
+    )
+    await conftest.until(
+        lambda: sum(node.dump()['queues'].values()) == 0, 'dropped'
+    )
+    for task in running:
+        task.cancel()
+    await conftest.until(
+        lambda: node.dump()['in_progress'] == 0, 'all have ended'
+    )
+    ids = {
+        seen.headers['request-id']
+        for seen in _received_requests(runners, 'e-')
+    }
+    assert 'late' not in ids
+    assert sum(node.dump()['loads'].values()) == 0
+
+
+async def test_client_that_leaves_between_attempts_gets_no_further_run(
+    node, runners, client
+):
+    """No further attempt is made once the client has left."""
+    for runner in runners.values():
+        runner.faults.answer = 'endless_refusal'
+    response_task = asyncio.ensure_future(
+        conftest.send_request(client, node, '/stream/x', **STREAM)
+    )
+    await _leave_when(response_task, lambda: _received_requests(runners, 'e-'))
+    await conftest.until(lambda: node.dump()['in_progress'] == 0, 'ended')
+    count = len(_received_requests(runners, 'e-'))
+    await asyncio.sleep(0.5)
+    assert len(_received_requests(runners, 'e-')) == count
+
+
 async def test_node_without_a_configuration_answers_503(store, client):
     """Without a configuration a node answers 503 and is not ready."""
     store.put('op', 'config', None)
