Ignore SIGHUP while a node starts

A node that was told to reload while it started ended with status -1, and its callers found no process until the next start: until the handler is installed, SIGHUP ends a process. That is half a second, most of it imports.

The process now starts in a module that ignores SIGHUP before it imports the others; the interpreter's own start of some 20 ms remains. Settings are read after that, so the restart that a change needs loses nothing.

--- a/tests/platform/processes.py
+++ b/tests/platform/processes.py
@@ -32,7 +32,7 @@
         self.proc = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
-            'plantainway.edge',
+            'plantainway.start_edge',
             stdout=asyncio.subprocess.PIPE,
             env=os.environ | {'PLANTAINWAY_SETTINGS': str(self._path)},
         )
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -1,7 +1,9 @@
 """Tests of two node processes, one of which is killed or stopped."""
 
 import asyncio
+import contextlib
 import json
+import os
 import signal
 
 import pytest
@@ -116,3 +118,29 @@
     assert got.headers['Connection'] == 'close'
     assert await first.proc.wait() == 0
     assert first.has_logged('node_stopped')
+
+
+async def test_sighup_during_the_start_does_not_end_the_node(store, tmp_path):
+    """A node that is told to reload before it has read its settings starts."""
+    process = processes.Process(
+        conftest.settings('n1', store.address), tmp_path / 'n1.json'
+    )
+    text = (tmp_path / 'n1.json').read_text()
+    (tmp_path / 'n1.json').unlink()
+    os.mkfifo(tmp_path / 'n1.json')
+    start = asyncio.ensure_future(process.start())
+    # Opening succeeds once the process has opened its end to read.
+    loop = asyncio.get_running_loop()
+    pipe = await loop.run_in_executor(
+        None, os.open, tmp_path / 'n1.json', os.O_WRONLY
+    )
+    process.proc.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.1)
+    with contextlib.suppress(BrokenPipeError):
+        os.write(pipe, text.encode())
+    os.close(pipe)
+    try:
+        await start
+        assert process.proc.returncode is None
+    finally:
+        await process.stop()
