Say why the processes of a benchmark do not come to serve

The capacity benchmark timed out twice at its start, beside other work, and said no more: every error was suppressed, and a process that had ended, such as one whose port was taken between the choice and its start, looked like a slow one. It now names the process and its status, or the state of the copies and the last error.

--- a/benchmarks/_cluster.py
+++ b/benchmarks/_cluster.py
@@ -1,6 +1,7 @@
 """Starts a node and the stand-ins as separate processes to measure."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import os
@@ -12,6 +13,7 @@
 import time
 
 from plantainway import client
+from plantainway import errors
 from plantainway import keys
 from plantainway import sessions
 
@@ -62,6 +64,12 @@
     return int(pages) * os.sysconf('SC_PAGE_SIZE')
 
 
+class ClusterStartError(errors.PlantainwayError):
+    """The processes of a benchmark did not come to serve."""
+
+    code = 'cluster_start_failed'
+
+
 class Cluster:
     """Stand-ins, one node and a client session.
 
@@ -172,7 +180,8 @@
             folder: Directory for the settings and objects files.
 
         Raises:
-            TimeoutError: Not all copies served within START_TIMEOUT_S.
+            ClusterStartError: If a process ended, or not all copies served
+                within START_TIMEOUT_S.
         """
         objects = pathlib.Path(folder) / 'objects.json'
         objects.write_text(json.dumps(self._objects()))
@@ -190,21 +199,39 @@
         )
         deadline = time.monotonic() + START_TIMEOUT_S
         is_applied = False
+        last_error = None
+        verdicts = collections.Counter()
         while time.monotonic() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
-            with contextlib.suppress(Exception):
+            self._check_processes()
+            try:
                 if not is_applied:
                     await operator.call(
                         'POST', 'apply', {'objects': self._objects()}
                     )
                     is_applied = True
                 state = await operator.call('GET', 'state')
-                verdicts = [
-                    copy['verdict'] for copy in state['routes'].values()
-                ]
-                if verdicts == ['serving'] * self.vms:
-                    return
-        raise TimeoutError('not all copies serve before the start timeout')
+            except errors.PlantainwayError as exc:
+                last_error = exc
+                continue
+            verdicts = collections.Counter(
+                copy['verdict'] for copy in state['routes'].values()
+            )
+            if verdicts == {'serving': self.vms}:
+                return
+        raise ClusterStartError(
+            f'not all of {self.vms} copies serve after {START_TIMEOUT_S} s: '
+            f'applied={is_applied} verdicts={dict(verdicts)} '
+            f'last_error={last_error!r}'
+        )
+
+    def _check_processes(self) -> None:
+        for process in self._processes:
+            if process.poll() is not None:
+                raise ClusterStartError(
+                    f'{process.args[3]} ended with status '
+                    f'{process.returncode} while starting'
+                )
 
     async def set_engine_switches(self, **values) -> None:
         """Sets behaviour switches of all engines and waits for a probe.
