Begin a link's updates with an acknowledged heartbeat

Read as a newcomer: an update without an acknowledgement was provided for, but cannot occur since the first update answers the first heartbeat. The special case goes, the error of an unknown acknowledgement names the leader, and address_update becomes add_ack. No message changes.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 
 import websockets
 from websockets.asyncio import client as ws_client
@@ -50,9 +51,11 @@
         self.beat_at = 0.0
 
     def ack(self, now: float) -> _messages.Ack:
-        """Returns the acknowledgement to send with the next update."""
-        if not self.beat_number:
-            return _messages.Ack(0, 0)
+        """Returns the acknowledgement to send with the next update.
+
+        Args:
+            now: Monotonic seconds.
+        """
         held_ms = int((now - self.beat_at) * 1000)
         return _messages.Ack(self.beat_number, held_ms)
 
@@ -267,13 +270,13 @@
         try:
             async for data in conn:
                 beat = _messages.decode(data, str(conn.remote_address))
-                if sender is None:
-                    link.versions = dict(beat.versions)
-                    sender = asyncio.ensure_future(self._send_updates(link))
                 name = beat.info.node
                 now = self._clock.now()
                 self._links[name] = link
                 link.beat_number, link.beat_at = beat.number, now
+                if sender is None:
+                    link.versions = dict(beat.versions)
+                    sender = asyncio.ensure_future(self._send_updates(link))
                 self._heartbeats[name] = (now, beat)
                 self._add_work(beat)
                 self._add_work(self._own_heartbeat())
@@ -345,7 +348,7 @@
         for item in self._tables:
             link.sent_revisions[item.name] = item.revision
             link.versions[item.name] = item.version
-        return _messages.address_update(link.ack(now), shared.encoded[key])
+        return _messages.add_ack(link.ack(now), shared.encoded[key])
 
     def _table_update(self, table, link: _NodeLink) -> _messages.TableUpdate:
         known = link.sent_revisions.get(table.name, -1)
@@ -425,8 +428,6 @@
         Args:
             address: ``IP:PORT`` of the leader's hub.
         """
-        # An update without an acknowledgement was sent after this.
-        self._beats_sent_at = {0: self._clock.now()}
         try:
             async with asyncio.timeout(LINK_TIMEOUT_S):
                 conn = await ws_client.connect(
@@ -443,6 +444,7 @@
             )
             return
         logs.event('leader_linked', peer=address)
+        self._beats_sent_at = {}
         sender = asyncio.ensure_future(self._send_heartbeats(conn))
         try:
             while True:
@@ -464,8 +466,7 @@
 
     async def _send_heartbeats(self, conn) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
-            while True:
-                number = max(self._beats_sent_at) + 1
+            for number in itertools.count(1):
                 beat = dataclasses.replace(
                     self._own_heartbeat(),
                     number=number,
@@ -482,7 +483,7 @@
                     async with asyncio.timeout(SEND_INTERVAL_S):
                         await self._wake.wait()
 
-    def _earliest_sending(self, ack) -> float:
+    def _earliest_sending(self, ack, leader: str) -> float:
         """Returns the earliest time at which an update can have been sent.
 
         The leader sent it ``ack.held_ms`` after it had received a heartbeat,
@@ -490,13 +491,19 @@
 
         Args:
             ack: Acknowledgement in the update.
+            leader: Name of the leader.
 
         Returns:
             Monotonic seconds.
+
+        Raises:
+            WireError: If no such heartbeat was sent over this link.
         """
         beat_at = self._beats_sent_at.get(ack.number)
         if beat_at is None:
-            raise errors.WireError('unknown heartbeat', 'update')
+            raise errors.WireError(
+                f'unknown heartbeat {ack.number}', 'update', leader
+            )
         for number in [n for n in self._beats_sent_at if n < ack.number]:
             del self._beats_sent_at[number]
         return beat_at + ack.held_ms / 1000
@@ -513,7 +520,7 @@
 
     def _apply_update(self, ack, update) -> None:
         now = self._clock.now()
-        sent_at = self._earliest_sending(ack)
+        sent_at = self._earliest_sending(ack, update.leader)
         self._record_delay(now - sent_at, update.leader)
         self.last_update_at = now
         self.last_update = update
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -59,8 +59,7 @@
 class Ack:
     """Last heartbeat that the leader received before it sent an update.
 
-    ``number`` is 0 before the first one; ``held_ms`` is the time between its
-    receipt and the sending of the update.
+    ``held_ms`` is the time between its receipt and the sending of the update.
     """
 
     number: int
@@ -175,7 +174,7 @@
     return _COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
 
 
-def address_update(ack: Ack, encoded: bytes) -> bytes:
+def add_ack(ack: Ack, encoded: bytes) -> bytes:
     """Adds the acknowledgement for one node to an update.
 
     Args:
