Close idle connections of a node that stops

An unsafe request lost so may not be repeated.

Cause: after the time for late clients a node closes its listener and calls close() of each connection's handler. aiohttp then ends the handler's task but not the connection of an idle one, which goes on reading and drops what comes until the process ends.

An idle connection is now closed by force; one whose request runs, or whose answer is still being sent, closes after it as before. The new test fails in its three rows on the code before (no end of the connection within 20 s) and passes now; two mutants.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -456,6 +456,20 @@
         'try:',
         'tests/platform/test_node_requests.py',
     ),
+    Mutant(
+        'a stopping node closes its idle connections',
+        'plantainway/platform/_ingress.py',
+        '                handler.force_close()\n',
+        '                pass\n',
+        'tests/platform/test_node_requests.py',
+    ),
+    Mutant(
+        'a stopping node completes running answers',
+        'plantainway/platform/_ingress.py',
+        'if handler not in self._busy_handlers and not is_sending:',
+        'if True:',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a leader that paused past its lease does not extend it',
         'plantainway/cluster/_leadership.py',
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -94,6 +94,7 @@
         self._clock = clock
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
+        self._busy_handlers = set()  # connections with a running request
         self.is_closing = False
 
     async def listen(self, address: str) -> str:
@@ -113,11 +114,20 @@
     async def stop_accepting(self) -> None:
         """Closes the listener and idle connections.
 
-        Requests in progress are not interrupted.
+        Requests in progress are not interrupted; their connections close
+        after the answer.
         """
         self._listener.close()
-        for handler in self._server.connections:
+        for handler in list(self._server.connections):
             handler.close()
+            # An idle connection stays open after that, and its requests
+            # would be read and dropped.
+            is_sending = (
+                handler.transport is not None
+                and handler.transport.get_write_buffer_size() > 0
+            )
+            if handler not in self._busy_handlers and not is_sending:
+                handler.force_close()
 
     async def close(self) -> None:
         """Closes the listener and all connections."""
@@ -127,6 +137,16 @@
 
     async def _handle(
         self, http_request: web.BaseRequest
+    ) -> web.StreamResponse:
+        handler = http_request.protocol
+        self._busy_handlers.add(handler)
+        try:
+            return await self._serve_request(http_request)
+        finally:
+            self._busy_handlers.discard(handler)
+
+    async def _serve_request(
+        self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
         arrived_at = self._clock.now()
         try:
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -1,6 +1,7 @@
 """Tests of requests through a complete node, with runners that fail."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -468,3 +469,37 @@
         assert [len(runner.orders) for runner in runners.values()] == orders
     finally:
         await again.close()
+
+
+async def _open_connection(node, requests: int):
+    """Opens a connection and sends that many requests over it."""
+    host, _, port = node.addresses['caller'].rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for number in range(requests):
+        head = f'GET /open/x HTTP/1.1\r\nHost: {conftest.HOST}\r\n'
+        writer.write(f'{head}Request-Id: r-{number}\r\n\r\n'.encode())
+        answer = await reader.readuntil(b'\r\n\r\n')
+        size = int(re.search(rb'Content-Length: (\d+)', answer)[1])
+        await reader.readexactly(size)
+    return reader, writer
+
+
+@pytest.mark.parametrize('requests', [0, 1, 3])
+async def test_idle_connections_do_not_swallow_requests_of_a_stopping_node(
+    node, runners, client, requests
+):
+    """They are closed with the listener; a running answer is completed."""
+    for head in conftest.open_heads(runners):
+        head.events = 60
+    running = asyncio.ensure_future(
+        conftest.send_request(client, node, '/stream/x', **STREAM)
+    )
+    await conftest.until(lambda: _received_requests(runners, 'e-'), 'run')
+    reader, writer = await _open_connection(node, requests)
+    await node._ingress.stop_accepting()
+    async with asyncio.timeout(conftest.WAIT_S):
+        assert await reader.read() == b''
+    writer.close()
+    got = await running
+    assert got.is_whole
+    assert got.body == _complete_stream(60)
