Let the mutants fail if their tests do not run

Since tests/conftest.py reads KNOWN-RED.txt, the copies in which guards are taken out could not collect any test, and each guard was reported as one that no test covers, the old ones too. The copies now hold that file, and a run of pytest that ends other than passed or failed is an error.

The mutant of the size of a compressed update turned nothing red even then, since the oversized bytes of its test were no update; they are a valid one of 5 MiB now. All 11 guards of cluster/ and the four of edge/_election.py turn a test red.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -12,6 +12,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).parents[1]
+TESTS_PASSED, TESTS_FAILED = 0, 1  # exit statuses of pytest
 
 
 @dataclasses.dataclass(frozen=True)
@@ -417,8 +418,8 @@
     Mutant(
         'a compressed update is limited in size',
         'plantainway/cluster/_messages.py',
-        'if not decompressor.eof:',
-        'if False:',
+        'decompressor.decompress(data, MESSAGE_BYTES_MAX)',
+        'decompressor.decompress(data) + decompressor.flush()',
         'tests/cluster/test_hub.py',
     ),
     Mutant(
@@ -521,7 +522,8 @@
         copy = pathlib.Path(folder)
         for name in ('plantainway', 'tests', 'benchmarks', 'examples'):
             shutil.copytree(ROOT / name, copy / name)
-        shutil.copy(ROOT / 'pyproject.toml', copy)
+        for name in ('pyproject.toml', 'KNOWN-RED.txt'):
+            shutil.copy(ROOT / name, copy)
         path = copy / mutant.path
         text = path.read_text()
         if mutant.guard not in text:
@@ -536,6 +538,10 @@
             capture_output=True,
             text=True,
         )
+        if found.returncode not in (TESTS_PASSED, TESTS_FAILED):
+            raise RuntimeError(
+                f'{mutant.name}: the tests did not run: {found.stdout[-500:]}'
+            )
         red = [
             line.split(' - ')[0].removeprefix('FAILED ')
             for line in found.stdout.splitlines()
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -42,6 +42,20 @@
     )
 
 
+def _update(row_bytes, age_ms=100):
+    row = _messages.RelayedRow('a', b'x' * row_bytes, 1)
+    return _messages.LeaderUpdate(
+        leader='n1',
+        lease_version=5,
+        nodes=None,
+        loads={},
+        suspects=[],
+        closed={},
+        opened=[],
+        tables=[_messages.TableUpdate('t', [row], 1, age_ms, ['a'])],
+    )
+
+
 class Pair:
     """A leader's hub and one node's link to it."""
 
@@ -331,17 +345,7 @@
     link = cluster.HubClient([table], None, clock)
     link._beats_sent_at = {1: clock.now()}
     clock.advance(beat_s)
-    update = _messages.LeaderUpdate(
-        leader='n1',
-        lease_version=5,
-        nodes=None,
-        loads={},
-        suspects=[],
-        closed={},
-        opened=[],
-        tables=[_messages.TableUpdate('t', [], 1, age_ms, [])],
-    )
-    link._apply_update(_messages.Ack(1, held_ms), update)
+    link._apply_update(_messages.Ack(1, held_ms), _update(1, age_ms))
     assert table.age_s() == pytest.approx(expected_s)
 
 
@@ -400,7 +404,7 @@
         b'0' * 12,
         b'0' * 12 + b'\1not compressed',
         b'0' * 12 + b'\1' + zlib.compress(b'x' * (5 << 20))[:-9],
-        b'0' * 12 + b'\1' + zlib.compress(b'x' * (5 << 20)),
+        b'0' * 12 + b'\1' + zlib.compress(_messages.encode(_update(5 << 20))),
         b'0' * 12 + b'\0' + _messages.encode(_beat('n1')),
     ],
 )
