Test that an event of a stream without end is cut off

The limit of 1 MiB of an event had no test: the streams of the others end by their stall. A stream that may not run twice is not left for a stall; without the limit it is read until the deadline (504), with it it fails at once (502).

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -443,6 +443,13 @@
         'if False:',
         'tests/platform/test_node_requests.py',
     ),
+    Mutant(
+        'an event without end is cut off',
+        'plantainway/traffic/_stream.py',
+        'if len(splitter.remainder) > EVENT_BYTES_MAX:',
+        'if False:',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a refusal whose body does not end stays a refusal',
         'plantainway/traffic/_plain.py',
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -268,6 +268,7 @@
         ('/stream/x', 'endless_head', (502,)),
         ('/stream/x', 'endless_interim', (502, 504)),
         ('/stream/x', 'endless_body', (502, 504)),
+        ('/once/x', 'endless_body', (502,)),
         ('/stream/x', 'endless_refusal', (503,)),
         ('/stream/x', 'endless_error', (502, 504)),
     ],
