Let the test of a late write decide when the write takes effect

The order was a matter of real time.

The stand-in now holds the write until the test has it applied, after the renewal; test_late_write_does_not_make_a_leader had the same race. The checks are the same, without a wait.

--- a/tests/cluster/test_leadership.py
+++ b/tests/cluster/test_leadership.py
@@ -1,7 +1,5 @@
 """Tests of the leader lease under lost, late and concurrent writes."""
 
-import asyncio
-
 import pytest
 
 from plantainway import clock as clocks
@@ -101,10 +99,10 @@
     first, second = (_node(name, table, clock) for name in ('n1', 'n2'))
     await first.read_lease()
     await second.read_lease()
-    server.faults.late_writes = 1
+    server.faults.late_writes, server.faults.late_s = 1, None
     assert not await first.acquire('10.0.0.1:1')
     assert not first.is_leader()
-    await asyncio.sleep(server.faults.late_s * 2)
+    server.apply_held_writes()
     assert not await second.acquire('10.0.0.2:1')
     assert not second.is_leader()
 
@@ -134,9 +132,9 @@
     """Repeated extensions last until the store answers again."""
     leadership = _node('n1', table, clock)
     assert await _acquire(leadership)
-    server.faults.late_writes = 1
+    server.faults.late_writes, server.faults.late_s = 1, None
     assert not await leadership.renew()
-    await asyncio.sleep(server.faults.late_s * 2)
+    server.apply_held_writes()
     for _extension in range(10):
         clock.advance(_leadership.EXTENSION_S - 0.1)
         assert leadership.is_leader()
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -19,14 +19,15 @@
     While ``down`` is set, each call ends with an aborted connection. The
     counts apply to that many of the next calls: ``lost_answers`` are applied
     but not answered, ``late_writes`` are not answered and are applied
-    ``late_s`` later, and ``refused`` get status 503. With ``drip_s``, answers
+    ``late_s`` later, or on ``apply_held_writes`` if that is ``None``, and
+    ``refused`` get status 503. With ``drip_s``, answers
     to reads arrive in ten parts, each after that pause.
     """
 
     down: bool = False
     lost_answers: int = 0
     late_writes: int = 0
-    late_s: float = 0.05
+    late_s: float | None = 0.05
     refused: int = 0
     drip_s: float = 0.0
 
@@ -46,6 +47,7 @@
         self.calls: list[str] = []
         self._history: list[tuple[str, str, str, bytes | None, int]] = []
         self._forgotten = 0
+        self._held_writes: list[dict] = []
         self._changed = asyncio.Event()
         self._server = _server.Server(self._app)
 
@@ -87,6 +89,12 @@
         row = self.rows.get((table, '', key))
         return json.loads(row[0]) if row else None
 
+    def apply_held_writes(self) -> None:
+        """Applies the late writes that were held."""
+        for body in self._held_writes:
+            self._apply(body)
+        self._held_writes.clear()
+
     def forget_history(self) -> None:
         """Deletes the history of changes; older versions get status 410."""
         self._history.clear()
@@ -184,9 +192,12 @@
         self._check(request, 'tx')
         if self.faults.late_writes > 0:
             self.faults.late_writes -= 1
-            asyncio.get_running_loop().call_later(
-                self.faults.late_s, self._apply, body
-            )
+            if self.faults.late_s is None:
+                self._held_writes.append(body)
+            else:
+                asyncio.get_running_loop().call_later(
+                    self.faults.late_s, self._apply, body
+                )
             _server.abort(request)
         if not self._apply(body):
             return web.json_response(
