Log how the body of a stream ended where no framing ends it

The line is written only for bodies that end with their connection or leave bytes after the last event.

--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -104,7 +104,7 @@
         self.not_run = self.misdirected or _names.NOT_EXECUTED in headers
         self.signed = _names.SERVER_STAMP in headers
         self.failed_upstream = headers.get(_names.FAILED_UPSTREAM, '')
-        self._has_explicit_length = (
+        self.ends_with_connection = not (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
 
@@ -146,7 +146,7 @@
         a reset for the regular end of the body.
         """
         return (
-            not self._has_explicit_length
+            self.ends_with_connection
             and self._protocol is not None
             and isinstance(self._protocol.exception(), aiohttp.ClientOSError)
         )
@@ -156,7 +156,7 @@
 
         See the base class.
         """
-        if self._resp.content.is_eof() and self._has_explicit_length:
+        if self._resp.content.is_eof() and not self.ends_with_connection:
             self._resp.release()
         else:
             self._resp.close()
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -421,6 +421,15 @@
                 deps.stalls.gap_timeout_s(head.name, state.longest_pass_s)
             )
         stall_timer.disarm()
+        if response.ends_with_connection or splitter.remainder:
+            deps.outcomes.log_decision(
+                state.req,
+                'stream_end_unframed',
+                upstream=head.name,
+                with_connection=response.ends_with_connection,
+                left_bytes=len(splitter.remainder),
+                after_event=state.last_event_id,
+            )
         if not state.is_started:
             await sink.start(response.status, response.headers)
             state.is_started = True
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -86,6 +86,8 @@
         signed: Whether the response carries the upstream's signature.
         failed_upstream: Name of an upstream that the response reports as
             failed, or empty.
+        ends_with_connection: Whether the body has neither a length nor
+            chunks, so that only the end of the connection ends it.
     """
 
     status: int
@@ -94,6 +96,7 @@
     misdirected: bool
     signed: bool
     failed_upstream: str = ''
+    ends_with_connection: bool = False
 
     @abc.abstractmethod
     async def read(self) -> bytes:
