--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -32,6 +32,26 @@
     sent_bytes: int = 0
 
 
+@dataclasses.dataclass
+class BrokenAnswer:
+    """An answer whose body ends early; several runners may share one.
+
+    ``remaining`` is how many more requests are answered like this.
+    ``framing`` is ``length`` (of the complete body), ``short_length`` (of the
+    bytes that are sent), ``chunks`` or ``none``. ``cut`` tells where the body
+    ends: ``before`` its first byte, ``between`` two events, ``inside`` an
+    event or a plain body, or at its ``end``. ``close`` tells how the
+    connection ends: ``finish`` sends the last chunk first, ``reset_at_once``
+    resets it without a pause after the body.
+    """
+
+    framing: str
+    cut: str
+    close: str
+    status: int = 200
+    remaining: int = 1
+
+
 @dataclasses.dataclass
 class RunnerFaults:
     """How the next requests are answered.
@@ -57,9 +77,10 @@
     ``stream_end`` is ``whole`` for a complete stream. Otherwise the stream
     ends after ``events`` events: with a connection reset (``reset``), with a
     part of an event and a reset (``torn``), or with an open connection that
-    stays idle (``silent``).
+    stays idle (``silent``). ``broken`` goes before both.
     """
 
+    broken: BrokenAnswer | None = None
     answer: str = 'whole'
     events: int = 5
     stream_end: str = 'whole'
@@ -233,7 +254,11 @@
             ('Server-Stamp', f'stamp-{self.name}'),
         ]
         answer_mode = self.faults.answer
-        if answer_mode == 'not_run':
+        broken = self.faults.broken
+        if broken is not None and broken.remaining > 0:
+            broken.remaining -= 1
+            await self._send_broken(writer, seen, headers, broken)
+        elif answer_mode == 'not_run':
             _send(writer, 503, [('Not-Executed', '1')], b'')
         elif answer_mode == 'error':
             _send(writer, 500, headers, b'failed')
@@ -271,6 +296,38 @@
             _reset(writer)
             raise _Closed
 
+    async def _send_broken(self, writer, seen, headers, broken) -> None:
+        whole, sent = self.body, {'before': 0, 'inside': 5}.get(broken.cut)
+        if self.model and broken.status == 200:
+            headers.append(('Content-Type', 'text/event-stream'))
+            first = int(seen.headers.get('last-event-id', 0)) + 1
+            events = [event(n) for n in range(first, self.events + 1)]
+            whole = b''.join(events)
+            if broken.cut in ('between', 'inside'):
+                torn = 5 if broken.cut == 'inside' else 0
+                sent = len(events[0]) + torn
+        body = whole[:sent]
+        if broken.framing.endswith('length'):
+            framed = whole if broken.framing == 'length' else body
+            headers.append(('Content-Length', str(len(framed))))
+        elif broken.framing == 'chunks':
+            headers.append(('Transfer-Encoding', 'chunked'))
+        _send(writer, broken.status, headers, b'', framed=False)
+        if broken.framing == 'chunks' and body:
+            _chunk(writer, body)
+        else:
+            writer.write(body)
+        if broken.framing == 'chunks' and broken.close == 'finish':
+            writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        if broken.close != 'reset_at_once':
+            await asyncio.sleep(EVENT_S)
+        if broken.close.startswith('reset'):
+            _reset(writer)
+        else:
+            writer.close()
+        raise _Closed
+
     async def _wait_for_close(self, reader, seen) -> None:
         await reader.read(1)
         seen.cancelled = True
