Treat a stream that ends inside an event as broken off

Cause: the end of a body was taken for the end of the stream. A body with neither a length nor chunks ends with its connection, so an engine that crashes and whose kernel closes the connection regularly ended the stream; the node forwarded the bytes after the last event and ended its own chunked answer. Chunks or a length that end regularly inside an event did the same.

The end of an event is the only mark that a stream carries itself, so it now decides, whatever the framing: bytes after the last blank line, or an unframed body without any event, count as a failed attempt. The stream is resumed after its last complete event, or the answer is cut off. Lines may end with CRLF or CR, as the format of event streams allows: such streams would otherwise never have a complete event.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -450,6 +450,20 @@
         'if False:',
         'tests/platform/test_node_requests.py',
     ),
+    Mutant(
+        'a stream that ends inside an event is broken off',
+        'plantainway/traffic/_stream.py',
+        'if splitter.remainder.strip():',
+        'if False:',
+        'tests/platform/test_answer_ends.py',
+    ),
+    Mutant(
+        'a stream that ends with its connection has an event',
+        'plantainway/traffic/_stream.py',
+        'if response.ends_with_connection and is_first_chunk:',
+        'if False:',
+        'tests/platform/test_answer_ends.py',
+    ),
     Mutant(
         'a refusal whose body does not end stays a refusal',
         'plantainway/traffic/_plain.py',
--- a/plantainway/traffic/_events.py
+++ b/plantainway/traffic/_events.py
@@ -1,8 +1,10 @@
 """Incremental parser for server-sent events."""
 
 import dataclasses
+import re
 
-EVENT_END = b'\n\n'
+# A blank line; lines end with LF, CRLF or CR.
+EVENT_END = re.compile(rb'(\n\n|\r\n\r\n|\r\r)')
 ID_FIELD = b'id:'
 
 
@@ -35,16 +37,16 @@
         Args:
             data: The next bytes of the stream, of any length.
         """
-        blocks = (self._buffer + data).split(EVENT_END)
-        self._buffer = blocks.pop()
+        parts = EVENT_END.split(self._buffer + data)
+        self._buffer = parts.pop()
         return [
-            Event(block + EVENT_END, _parse_event_id(block))
-            for block in blocks
+            Event(block + end, _parse_event_id(block))
+            for block, end in zip(parts[::2], parts[1::2])
         ]
 
 
 def _parse_event_id(event: bytes) -> int | None:
-    for line in event.split(b'\n'):
+    for line in event.splitlines():
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
             return int(text) if text.isdigit() else None
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -394,7 +394,12 @@
     async def _forward_stream(
         self, state, head, response, sink, stall_timer, sent_at
     ) -> _AttemptResult:
-        """Forwards events to the client until the stream ends."""
+        """Forwards events to the client until the stream ends.
+
+        Raises:
+            UpstreamError: If the stream was broken off. Regular framing does
+                not rule that out: a stream may end with its connection.
+        """
         deps = self._deps
         splitter = _events.EventSplitter()
         last_progress_at = sent_at
@@ -430,11 +435,19 @@
                 left_bytes=len(splitter.remainder),
                 after_event=state.last_event_id,
             )
+        if splitter.remainder.strip():
+            raise errors.UpstreamError(
+                'stream ended inside an event', 'body', head.name
+            )
+        if response.ends_with_connection and is_first_chunk:
+            raise errors.UpstreamError(
+                'connection closed before the first event', 'body', head.name
+            )
         if not state.is_started:
             await sink.start(response.status, response.headers)
             state.is_started = True
         if splitter.remainder:
-            await sink.write(splitter.remainder)
+            await sink.write(splitter.remainder)  # blank lines
         await sink.finish()
         deps.health.record_success(head.name)
         return _AttemptResult.DONE
--- a/tests/traffic/test_books.py
+++ b/tests/traffic/test_books.py
@@ -121,6 +121,7 @@
         ([b'id: 1\nda', b'ta: a\n\nid: 2\n', b'\n'], [1, 2], b''),
         ([b'id: 1\n\nid: 2\ndata: cut'], [1], b'id: 2\ndata: cut'),
         ([b'weight-versions: 3\nid: 7\ndata: a\n\n'], [7], b''),
+        ([b'id: 1\r\n\r', b'\nid: 2\r\n\r\nid: 3\r\n'], [1, 2], b'id: 3\r\n'),
         ([b'data: a\n\n'], [None], b''),
         ([b'id: x\n\n'], [None], b''),
     ],
