--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -205,6 +205,9 @@
             answer_tokens=answer,
             length_hint=int(_parse_number(headers.get(_names.LENGTH_HINT), 0)),
             last_event_id=_parse_event_id(headers.get(_names.LAST_EVENT_ID)),
+            shared_parts=_parse_shared_parts(
+                headers.get(_names.PROMPT_PARTS, '')
+            ),
         )
 
     def _encode_response(self, req, answer: traffic.Response) -> web.Response:
@@ -358,6 +361,12 @@
     return int(_parse_number(prompt, 0)), int(_parse_number(answer, 0))
 
 
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Returns the ids in a list of ``ID:TOKENS``, except for the last."""
+    ids = [item.partition(':')[0].strip() for item in text.split(',')]
+    return tuple(name for name in ids[:-1] if name)
+
+
 def _parse_event_id(text: str | None) -> int | None:
     if not text:
         return None
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -217,6 +217,7 @@
                 reason=state.reason,
                 runs=state.runs,
                 after_event=state.last_event_id,
+                parts=','.join(state.req.shared_parts),
             )
             state.excluded_heads.add(reservation.head.name)
             if result is _AttemptResult.NOT_RUN:
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -19,6 +19,8 @@
     end-to-end headers in order. Times are monotonic seconds: ``deadline`` is
     when the client stops waiting. ``last_event_id`` is the last event that
     the client received of a stream it resumes, ``None`` for a new stream.
+    ``shared_parts`` are the ids of the parts of the prompt that requests may
+    have in common, which are all but the last, in their order.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     answer_tokens: int = 0
     length_hint: int = 0
     last_event_id: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
