--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -13,6 +13,8 @@
 
 EVENT_S = 0.01
 ENDLESS_PAUSE_S = 0.002  # about 30 MB/s
+ENTRY_TTL_S = 0.3  # the entry of a runner that has crashed goes away
+RESTART_S = 0.6  # after a crash by a request
 
 
 @dataclasses.dataclass
@@ -77,10 +79,13 @@
     ``stream_end`` is ``whole`` for a complete stream. Otherwise the stream
     ends after ``events`` events: with a connection reset (``reset``), with a
     part of an event and a reset (``torn``), or with an open connection that
-    stays idle (``silent``). ``broken`` goes before both.
+    stays idle (``silent``). ``broken`` goes before both. The runner crashes
+    when it is about to send the first event of a request whose prompt has
+    ``deadly_part``, and starts again after ``RESTART_S``.
     """
 
     broken: BrokenAnswer | None = None
+    deadly_part: str = ''
     answer: str = 'whole'
     events: int = 5
     stream_end: str = 'whole'
@@ -114,19 +119,48 @@
         self.orders: list[dict] = []
         self.newest_epoch = 0
         self.body = b'the answer of ' + name.encode()
+        self.crashes = 0
+        self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = ''
 
-    async def start(self) -> None:
-        """Starts to listen and registers in the store."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+    async def start(self, port: int = 0) -> None:
+        """Starts to listen and registers in the store.
+
+        Args:
+            port: Port to listen on, 0 for a free one.
+        """
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', port
+        )
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         self.write_entry()
 
     async def stop(self) -> None:
         """Aborts all connections, as a crash does."""
+        for task in self._tasks:
+            task.cancel()
+        self._close()
+
+    def _crash(self) -> None:
+        """Aborts all connections, and starts again after a pause."""
+        self.crashes += 1
+        self._close()
+        task = asyncio.ensure_future(self._restart())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(ENTRY_TTL_S)
+        self.store.put('servers', self.name, None)
+        await asyncio.sleep(RESTART_S - ENTRY_TTL_S)
+        self.started_ms += 1000
+        self.group, self.seq, self.newest_epoch = None, 0, 0
+        await self.start(int(self.address.rpartition(':')[2]))
+
+    def _close(self) -> None:
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
@@ -356,6 +390,13 @@
         headers.append(('Content-Type', 'text/event-stream'))
         headers.append(('Transfer-Encoding', 'chunked'))
         _send(writer, 200, headers, b'', framed=False)
+        prefix = seen.headers.get('prefix-hash', '').split(',')
+        if self.faults.deadly_part in [
+            item.partition(':')[0] for item in prefix[:-1]
+        ]:
+            await asyncio.sleep(EVENT_S)
+            self._crash()
+            raise _Closed
         first = int(seen.headers.get('last-event-id', 0)) + 1
         is_interrupted = self.faults.stream_end != 'whole'
         last = self.events
--- /dev/null
+++ b/tests/platform/test_deadly_parts.py
@@ -0,0 +1,215 @@
+"""Tests of requests that crash each engine that begins to answer them."""
+
+import asyncio
+import contextlib
+import itertools
+
+import pytest
+
+from plantainway import edge
+from tests.platform import conftest
+from tests.platform import runner_standin
+
+DEADLY = 'dead'
+FIRST = 'f0'  # all requests of the tests begin with this part
+# Of the platform's rules: all nodes know after this time what one has learnt,
+# and three requests may reach engines after that.
+STABLE_S = 3.0
+CRASHES_KNOWN = 5
+REQUESTS_MAX = 3
+
+
+@pytest.fixture
+async def nodes(store, runners, node):
+    """Three nodes, the first of which leads; engines that can crash."""
+    for runner in runners.values():
+        runner.faults.deadly_part = DEADLY
+    async with contextlib.AsyncExitStack() as stack:
+        others = [
+            await stack.enter_async_context(
+                conftest.running(conftest.settings(name, store.address))
+            )
+            for name in ('n2', 'n3')
+        ]
+        found = [node, *others]
+        await _until_ready(found)
+        yield found
+
+
+async def _until_ready(nodes):
+    for one in nodes:
+        await conftest.until(one.is_ready, 'ready')
+        await conftest.until(
+            lambda one=one: len(one.dump()['nodes']) == len(nodes), 'linked'
+        )
+
+
+class Callers:
+    """Sends requests with and without the deadly part, no two alike."""
+
+    def __init__(self, client, runners):
+        self._client = client
+        self._runners = runners
+        self._count = 0
+
+    async def send(self, node, *parts):
+        """Sends a request with these parts between its first and its last."""
+        self._count += 1
+        prefix = [FIRST, *parts, f'last{self._count}']
+        return await conftest.send_request(
+            self._client,
+            node,
+            '/stream/x',
+            method='POST',
+            request_id=f'r-{self._count}',
+            Model='m0',
+            Token_Count='10,10',
+            Prefix_Hash=','.join(f'{part}:40' for part in prefix),
+        )
+
+    def arrivals(self):
+        """Returns how many requests with the deadly part reached engines."""
+        return sum(
+            DEADLY in seen.headers.get('prefix-hash', '')
+            for runner in self._runners.values()
+            for seen in runner.seen
+        )
+
+    def crashes(self):
+        """Returns how often engines have crashed."""
+        return sum(runner.crashes for runner in self._runners.values())
+
+    async def crash_engines(self, nodes, count=CRASHES_KNOWN):
+        """Sends deadly requests among sound ones until engines have crashed.
+
+        Returns after the time by which all nodes have to know. Ends sooner if
+        no such request reaches an engine any more.
+
+        Args:
+            nodes: The nodes, which get the requests in turn.
+            count: Number of crashes.
+        """
+        async with asyncio.timeout(conftest.WAIT_S):
+            for node in itertools.cycle(nodes):
+                before = self.arrivals()
+                await asyncio.gather(
+                    self.send(node, DEADLY), self.send(node), self.send(node)
+                )
+                if self.crashes() >= count or self.arrivals() == before:
+                    break
+                await self.wait_for_repair()
+        await asyncio.sleep(STABLE_S)
+
+    async def wait_for_repair(self):
+        """Waits until crashed engines are back and in open groups."""
+        await asyncio.sleep(runner_standin.RESTART_S)
+        await conftest.until(
+            lambda: len(conftest.open_heads(self._runners)) >= 2, 'groups'
+        )
+        await asyncio.sleep(0.3)  # until all nodes have seen it
+
+    async def assert_refused(self, nodes, before):
+        """Checks that nodes refuse the part and serve all other requests.
+
+        Args:
+            nodes: The nodes.
+            before: Requests with the part that have reached engines so far.
+        """
+        await self.wait_for_repair()
+        for node in nodes * 2:
+            seen, crashes = self.arrivals(), self.crashes()
+            got = await self.send(node, DEADLY)
+            if self.arrivals() == seen:
+                assert got.status == 503
+                assert 'Server-Stamp' not in got.headers
+            if self.crashes() > crashes:
+                await self.wait_for_repair()
+        assert self.arrivals() - before <= REQUESTS_MAX
+        for node in nodes * 3:
+            got = await self.send(node)
+            assert (got.status, got.is_whole) == (200, True)
+
+
+@pytest.fixture
+def callers(client, runners):
+    """Clients whose prompts have parts in common."""
+    return Callers(client, runners)
+
+
+async def test_part_that_crashes_engines_is_refused_by_all_nodes(
+    nodes, callers
+):
+    """Whatever else the requests hold; sound ones go on."""
+    await callers.crash_engines(nodes)
+    await callers.assert_refused(nodes, callers.arrivals())
+
+
+async def test_restarted_node_learns_which_part_crashes_engines(
+    nodes, callers, store
+):
+    """A follower that knew it is replaced by a process that does not."""
+    await callers.crash_engines(nodes)
+    await nodes[2].close()
+    async with conftest.running(
+        conftest.settings('n3', store.address)
+    ) as again:
+        members = [*nodes[:2], again]
+        await _until_ready(members)
+        await asyncio.sleep(STABLE_S)
+        await callers.assert_refused(members, callers.arrivals())
+
+
+async def test_new_leader_knows_which_part_crashes_engines(
+    nodes, callers, store
+):
+    """The leader is replaced; a later node learns it from the new one."""
+    await callers.crash_engines(nodes)
+    await nodes[0].close()
+    async with conftest.running(
+        conftest.settings('n4', store.address)
+    ) as later:
+        members = [*nodes[1:], later]
+        await conftest.until(
+            lambda: any(one.dump()['leads'] for one in members), 'leader'
+        )
+        await _until_ready(members)
+        await asyncio.sleep(STABLE_S)
+        await callers.assert_refused(members, callers.arrivals())
+
+
+async def test_part_that_crashes_engines_is_known_after_a_common_restart(
+    nodes, callers, store
+):
+    """All nodes restart at once; the store keeps what they learnt."""
+    await callers.crash_engines(nodes)
+    for one in nodes:
+        await one.close()
+    again = [
+        edge.EdgeNode(conftest.settings(name, store.address))
+        for name in ('n1', 'n2')
+    ]
+    try:
+        for one in again:
+            await one.start()
+        await _until_ready(again)
+        await asyncio.sleep(STABLE_S)
+        await callers.assert_refused(again, callers.arrivals())
+    finally:
+        for one in again:
+            await one.close()
+
+
+async def test_part_that_crashes_engines_is_refused_without_the_store(
+    nodes, callers, store
+):
+    """What one node learns reaches the others while the store is away."""
+    await callers.send(nodes[1], DEADLY)
+    await callers.wait_for_repair()
+    store.faults.down = True
+    before = callers.crashes()
+    for one in nodes:
+        await callers.send(one, DEADLY)
+    assert callers.crashes() > before
+    await asyncio.sleep(STABLE_S)
+    for one in nodes:
+        assert list(one.dump()['quarantined_parts']) == [DEADLY]
