Refuse requests with a part of a prompt on which engines crash

Cause: nothing connected a crash with what was running. A node that lost a head gave the same request to the next one, up to four times, and every node began anew.

Each node reports runs that were cut off before a second event, with the shared parts of their prompts. The leader counts a report once the engine is found gone, asks all nodes when those parts last survived, and quarantines the one that has not survived for longest once it stands behind three crashes (five over a second, if it survived within 10 s: engines that are lost together cut off popular parts, too). The quarantine travels with the leader's updates and back with heartbeats, so that a new leader and a node that starts have it within a second, with or without the store; a row keeps it for a common restart. It ends after ten minutes, then one crash suffices for ten more; 64 parts at most. A request that has not run gets 503 with the end of the quarantine, at once; one that has is not sent again.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -92,6 +92,10 @@
             groups by head; set by the node.
         opened_heads: Function that returns the heads that serve although
             their table entry does not show it yet; set by the node.
+        watched_parts: Function that returns the parts of prompts whose
+            survivals the nodes are to report; set by the node.
+        quarantined_ms: Function that returns the quarantined parts; set by
+            the node.
         sent_bytes: Bytes of all updates sent so far.
     """
 
@@ -111,6 +115,8 @@
         self.on_heartbeat = []
         self.disbanded_epochs = dict
         self.opened_heads = list
+        self.watched_parts = list
+        self.quarantined_ms = dict
         self._links_at_renewal = 0
         self.sent_bytes = 0
         for table in tables:
@@ -342,6 +348,8 @@
                 tables=[
                     self._table_update(item, link) for item in self._tables
                 ],
+                watched_parts=self.watched_parts(),
+                quarantined_ms=self.quarantined_ms(),
             )
             shared.encoded[key] = _messages.encode_update(update)
         link.sent_nodes = shared.nodes
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -8,6 +8,7 @@
 import pydantic
 
 from plantainway import errors
+from plantainway import quarantine
 
 MESSAGE_BYTES_MAX = 4 << 20  # a full configuration and all entries fit
 # Header of an update: number of the acknowledged heartbeat, milliseconds
@@ -44,6 +45,9 @@
     ``store_age_ms`` is the time since the oldest of the node's table caches
     was known to be current. ``number`` counts the heartbeats on a link, from
     1. ``versions`` are those of the tables that the node holds, by table.
+    ``crash_reports`` are recent, ``survival_ages_ms`` answer for the parts of
+    prompts that the leader watches, ``quarantined_ms`` is the time to the end
+    of the quarantine of each part that the node refuses.
     """
 
     info: NodeInfo
@@ -53,6 +57,11 @@
     store_age_ms: int = 0
     number: int = 0
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    crash_reports: list[quarantine.CrashReport] = dataclasses.field(
+        default_factory=list
+    )
+    survival_ages_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    quarantined_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +121,8 @@
     heads that serve although no table entry shows it yet. ``lease_version``
     is the version of the lease row that the leader wrote last. ``nodes`` is
     ``None`` if they are unchanged since the last update to this node.
+    ``watched_parts`` are those of prompts whose survivals the nodes are to
+    report, ``quarantined_ms`` is as in the heartbeat.
     """
 
     leader: str
@@ -122,6 +133,8 @@
     closed: dict[str, int]
     opened: list[OpenHead]
     tables: list[TableUpdate]
+    watched_parts: list[str] = dataclasses.field(default_factory=list)
+    quarantined_ms: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 _ADAPTERS = {
--- a/plantainway/edge/_fleet.py
+++ b/plantainway/edge/_fleet.py
@@ -90,6 +90,21 @@
             for name in heads:
                 controller.probe_group(name)
 
+    def is_gone(self, name: str, started_ms: int) -> bool:
+        """Returns whether an incarnation of an engine is known to be gone.
+
+        Args:
+            name: Name of the engine.
+            started_ms: Start of the incarnation.
+        """
+        current = self._view.book.by_name.get(name)
+        if current is None or current.started_ms != started_ms:
+            return True
+        return any(
+            controller.is_gone(name, started_ms)
+            for controller in self._controllers.values()
+        )
+
     def disbanded_epochs(self) -> dict[str, int]:
         """Returns the epochs of recently disbanded groups, by head."""
         closed: dict[str, int] = {}
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -26,6 +26,7 @@
         self._window_s = window_s
         self._suspected_until: dict[str, float] = {}
         self._total_work: dict[str, float] = {}
+        self._watched_parts: list[str] = []
         self._node_count_may_fall_at = 0.0
 
     def heartbeat(self) -> cluster.Heartbeat:
@@ -42,6 +43,11 @@
             list(self._suspected_until),
             dict(self._total_work),
             int(min(self._view.oldest_table_age_s(), TABLE_AGE_MAX_S) * 1000),
+            crash_reports=self._dependencies.evidence.reports(),
+            survival_ages_ms=self._dependencies.evidence.survival_ages_ms(
+                self._watched_parts
+            ),
+            quarantined_ms=self._dependencies.quarantine.remaining_ms(),
         )
 
     def report_suspect(self, head: str) -> None:
@@ -72,7 +78,7 @@
 
     def apply_update(
         self, update, node_count: int, sent_loads: dict[str, int]
-    ) -> None:
+    ) -> bool:
         """Applies an update from the leader, except for its table rows.
 
         Args:
@@ -80,6 +86,9 @@
             node_count: Number of nodes that the leader names.
             sent_loads: Requests in progress in this node's last heartbeat,
                 by upstream.
+
+        Returns:
+            Whether the leader asks for more than the last heartbeat held.
         """
         self.set_node_count(node_count)
         self.update_other_loads(update.loads, sent_loads)
@@ -98,6 +107,10 @@
         )
         for name in update.suspects:
             self._dependencies.stalls.mark_suspect(name)
+        self._dependencies.quarantine.merge(update.quarantined_ms)
+        is_asked = bool(set(update.watched_parts) - set(self._watched_parts))
+        self._watched_parts = update.watched_parts
+        return is_asked
 
     def mark_heads_closed(self, closed: dict[str, int]) -> None:
         """Stops new requests to the heads of disbanded groups.
--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -22,6 +22,11 @@
             ('configuration', 'Version in force', state['configuration']),
             ('nodes', 'Nodes known', len(state['nodes'])),
             ('upstreams', 'Upstreams known', state['upstreams']),
+            (
+                'quarantined_parts',
+                'Parts of prompts that are refused or on probation',
+                len(state['quarantined_parts']),
+            ),
             ('leads', 'Whether the node leads', int(state['leads'])),
             ('store_calls', 'Calls to the store', state['store_calls']),
         ):
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -14,10 +14,12 @@
 from plantainway.edge import _gossip
 from plantainway.edge import _lateness
 from plantainway.edge import _metrics
+from plantainway.edge import _quarantine
 from plantainway.edge import _view
 from plantainway import logs
 from plantainway import metrics
 from plantainway import platform
+from plantainway import quarantine
 from plantainway import traffic
 
 # Added to the longest time that clients may cache a directory answer.
@@ -102,6 +104,14 @@
         self._controllers = _fleet.ControllerSet(
             self._view, self._client, self._leadership, clock, self._spawn
         )
+        self._quarantine = _quarantine.QuarantineTask(
+            self._dependencies.quarantine,
+            self._dependencies.evidence,
+            self._leadership,
+            self._store,
+            self._controllers.is_gone,
+            clock,
+        )
         self._register_listeners()
         self._ingress = platform.Ingress(self._gateway, clock)
         self._directory = platform.DirectoryServer(
@@ -135,6 +145,8 @@
                 bounds.retry_window_s,
             ),
             outcomes=traffic.OutcomeRecorder(clock),
+            quarantine=quarantine.Quarantine(clock),
+            evidence=quarantine.EvidenceRecorder(clock),
             on_failure=self._handle_upstream_failure,
         )
 
@@ -182,13 +194,12 @@
         self._controllers.on_heads_changed.append(self._handle_heads_changed)
         self._hub.disbanded_epochs = self._controllers.disbanded_epochs
         self._hub.opened_heads = self._opened_heads
+        self._hub.watched_parts = self._quarantine.watched_parts
+        self._hub.quarantined_ms = dependencies.quarantine.remaining_ms
         self._hub.on_heartbeat.append(self._handle_heartbeat)
+        self._quarantine.on_change.append(self._hub.send_soon)
         self._leader_link.on_update.append(self._handle_leader_update)
-        self._election.on_renewal_attempt.append(
-            lambda: self._leader_sync.set_node_count(
-                len(self._hub.live_nodes())
-            )
-        )
+        self._election.on_renewal_attempt.append(self._handle_renewal)
 
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(coroutine)
@@ -268,19 +279,27 @@
         else:
             self._leader_link.send_soon()
 
+    def _handle_renewal(self) -> None:
+        self._leader_sync.set_node_count(len(self._hub.live_nodes()))
+        self._quarantine.decide()
+        self._spawn(self._quarantine.store())
+
     def _handle_heartbeat(self, beat) -> None:
         self._election.extend_if_late()
         self._controllers.record_work(self._hub.total_work())
         self._controllers.probe_suspects(beat.suspects)
+        self._quarantine.handle_heartbeat(beat)
         self._leader_sync.update_other_loads(
             self._hub.total_loads(), self._dependencies.loads.local_counts
         )
 
     def _handle_leader_update(self, update) -> None:
         self._leadership.observe_renewal(update.lease_version)
-        self._leader_sync.apply_update(
+        is_asked = self._leader_sync.apply_update(
             update, len(self._leader_link.nodes), self._leader_link.sent_loads
         )
+        if is_asked:
+            self._leader_link.send_soon()
 
     def _handle_heads_changed(self) -> None:
         self._leader_sync.mark_heads_closed(
@@ -373,6 +392,7 @@
             'store_calls': self._store.call_count,
             'relayed_bytes': self._hub.sent_bytes,
             'groups': self._controllers.dump(),
+            'quarantined_parts': self._dependencies.quarantine.remaining_ms(),
         }
 
     @property
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -12,6 +12,8 @@
 
 DEFAULT_DEADLINE_MS = 30000.0  # for requests without a deadline
 KEEPALIVE_TIMEOUT_S = 75.0  # longer than the clients' own
+PROMPT_PARTS_MAX = 64  # of one request; their ids are kept and sent around
+PART_ID_CHARS_MAX = 64
 LINGERING_TIME_S = 2.0  # for reading the rest of a refused body
 # When the accept queue is full, new connections are dropped and clients
 # wait seconds before they try again.
@@ -362,9 +364,16 @@
 
 
 def _parse_shared_parts(text: str) -> tuple[str, ...]:
-    """Returns the ids in a list of ``ID:TOKENS``, except for the last."""
+    """Returns the ids in a list of ``ID:TOKENS``, except for the last.
+
+    Ids that are too long, and too many of them, are left out.
+    """
     ids = [item.partition(':')[0].strip() for item in text.split(',')]
-    return tuple(name for name in ids[:-1] if name)
+    return tuple(
+        name
+        for name in ids[:-1][:PROMPT_PARTS_MAX]
+        if 0 < len(name) <= PART_ID_CHARS_MAX
+    )
 
 
 def _parse_event_id(text: str | None) -> int | None:
--- a/plantainway/supply/_contacts.py
+++ b/plantainway/supply/_contacts.py
@@ -203,6 +203,16 @@
         finally:
             probe.is_probing = False
 
+    def is_gone(self, name: str, started_ms: int) -> bool:
+        """Returns whether the last probe found an incarnation to be gone.
+
+        Args:
+            name: Name of the engine.
+            started_ms: Start of the incarnation.
+        """
+        probe = self._probe_states.get(name)
+        return probe is not None and probe.born == started_ms and probe.is_gone
+
     def find(self, name: str) -> deployment.Upstream | None:
         """Returns the last entry of an engine, ``None`` if it is unknown.
 
@@ -249,7 +259,7 @@
         self.is_lost = False
         self.pace = 1.0
         self._failure_count = 0
-        self._born = 0
+        self.born = 0
         self._report: deployment.EngineReport | None = None
         self._report_requested_at = float('-inf')
         self._superseded_entry: deployment.Upstream | None = None
@@ -260,8 +270,8 @@
         Args:
             born: The ``started_ms`` of the current incarnation.
         """
-        if born != self._born:
-            self._born = born
+        if born != self.born:
+            self.born = born
             self._report = None
             self._superseded_entry = None
             self.pace = 1.0
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -125,6 +125,15 @@
                 for name in record.members:
                     self._engines.start_probe(name)
 
+    def is_gone(self, name: str, started_ms: int) -> bool:
+        """Returns whether a probe found an incarnation of an engine gone.
+
+        Args:
+            name: Name of the engine.
+            started_ms: Start of the incarnation.
+        """
+        return self._engines.is_gone(name, started_ms)
+
     def _adopt(self, now: float) -> None:
         """Replaces groups and warm-ups by those that the engines report.
 
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -6,6 +6,8 @@
 
 from plantainway import clock as clocks
 from plantainway import deployment
+from plantainway import errors
+from plantainway import quarantine as quarantines
 from plantainway.traffic import _budget
 from plantainway.traffic import _heads
 from plantainway.traffic import _health
@@ -37,6 +39,8 @@
     heads: _heads.HeadPool
     budget: _budget.RetryBudget
     outcomes: _outcomes.OutcomeRecorder
+    quarantine: quarantines.Quarantine
+    evidence: quarantines.EvidenceRecorder
     on_failure: collections.abc.Callable | None = None
     on_stream_request: collections.abc.Callable | None = None
 
@@ -153,6 +157,12 @@
         service = _choose_service(route, self._rng)
         if service is None:
             return _types.Response(503, reason='route has no weighted service')
+        try:
+            self._deps.quarantine.ensure_allowed(req.shared_parts)
+        except errors.NotRunError as exc:
+            return _types.Response(
+                503, retry_after_s=exc.retry_after_s, reason=exc.message
+            )
         self._deps.budget.record_request(service)
         if route.kind is deployment.RouteKind.STREAM:
             engine = cfg.engines.get(service)
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -81,6 +81,8 @@
                 upstream = self._choose_upstream(service, tried_names)
             if upstream is None or deps.clock.now() >= deadline:
                 break
+            if deps.quarantine.find(req.shared_parts) is not None:
+                break
             if sends and not deps.budget.try_take(service):
                 deps.outcomes.log_decision(
                     req, 'retry_denied', service=service
@@ -153,6 +155,8 @@
             )
             return _AttemptResult(None, not was_refused, 'no response in time')
         except errors.UpstreamError as exc:
+            if exc.sent:
+                deps.evidence.record_cut_off(upstream, req.shared_parts)
             deps.record_failure(upstream, exc.message, eject_now=not exc.sent)
             return _AttemptResult(None, exc.sent, exc.message)
         finally:
@@ -177,6 +181,7 @@
                 is_server_error=True,
             )
         deps.health.record_success(upstream.name)
+        deps.evidence.record_survival(req.shared_parts)
         return _AttemptResult(response, True, '')
 
     def _attempt_timeout_s(
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -65,6 +65,40 @@
     longest_pass_s: float = 0.0
 
 
+class _RunEvidence:
+    """Tells whether one run shows that its prompt crashes engines, or not.
+
+    Engines crash when they begin to write an answer. A run whose engine has
+    gone on after the first event speaks for all parts of the prompt.
+
+    Args:
+        recorder: Evidence of this node.
+        parts: Shared parts of the prompt.
+    """
+
+    def __init__(self, recorder, parts):
+        self._recorder = recorder
+        self._parts = parts
+        self._events = 0
+
+    def record_events(self, count: int) -> None:
+        """Counts events that have arrived."""
+        before = self._events
+        self._events += count
+        if before <= 1 < self._events:
+            self._recorder.record_survival(self._parts)
+
+    def record_end(self) -> None:
+        """Records that the engine has ended the answer."""
+        if self._events <= 1:
+            self._recorder.record_survival(self._parts)
+
+    def record_cut_off(self, engine) -> None:
+        """Records that the run ended without an end of its answer."""
+        if self._events <= 1:
+            self._recorder.record_cut_off(engine, self._parts)
+
+
 class _StallTimer:
     """Ends an attempt whose stream is silent for too long.
 
@@ -192,7 +226,7 @@
                 state.reason = 'retry budget exhausted'
                 return False
             try:
-                reservation = await self._reserve(state)
+                reservation = await self._reserve_allowed(state)
             except errors.NotRunError as exc:
                 state.reason = exc.message
                 if state.runs == 0 and not state.is_started:
@@ -251,10 +285,31 @@
 
     def _retry_after_s(self, state, exc) -> float:
         remaining_s = state.req.deadline - self._deps.clock.now()
+        if exc.reason == 'quarantined':
+            return exc.retry_after_s
         if exc.reason == 'unavailable':
             return _queue.retry_after_s(UNAVAILABLE_RETRY_AFTER_S, remaining_s)
         return _queue.retry_after_s(exc.retry_after_s, remaining_s)
 
+    async def _reserve_allowed(self, state):
+        """Reserves capacity, unless engines crash on the prompt.
+
+        That may become known while the request waits.
+
+        Raises:
+            NotRunError: If a part of the prompt is quarantined, or as
+                ``HeadPool.reserve``.
+        """
+        ensure_allowed = self._deps.quarantine.ensure_allowed
+        ensure_allowed(state.req.shared_parts)
+        reservation = await self._reserve(state)
+        try:
+            ensure_allowed(state.req.shared_parts)
+        except errors.NotRunError:
+            self._deps.heads.release(reservation)
+            raise
+        return reservation
+
     async def _reserve(self, state):
         req, route = state.req, state.route
         on_time_until = req.arrived_at + route.latency_target_ms / 1000
@@ -301,6 +356,7 @@
             last_event_id=state.last_event_id,
         )
         stall_timer = None
+        evidence = _RunEvidence(deps.evidence, state.req.shared_parts)
         result = _AttemptResult.BROKEN
         try:
             async with asyncio.timeout(None) as attempt_timeout:
@@ -317,7 +373,7 @@
                     )
                 state.runs += 1
                 result = await self._forward_stream(
-                    state, head, response, sink, stall_timer, sent_at
+                    state, head, response, sink, stall_timer, sent_at, evidence
                 )
                 return result
         except TimeoutError:
@@ -325,6 +381,7 @@
                 raise
             if response is None:
                 state.runs += 1
+            evidence.record_cut_off(head)
             deps.stalls.record_stall(head.name, stall_timer.timeout_s)
             deps.record_failure(head, 'stalled')
             state.reason = 'stalled'
@@ -333,6 +390,8 @@
             state.reason = exc.message
             if response is None and exc.sent:
                 state.runs += 1
+            if exc.sent:
+                evidence.record_cut_off(head)
             deps.record_failure(head, exc.message, eject_now=not exc.sent)
             return (
                 _AttemptResult.BROKEN if exc.sent else _AttemptResult.NOT_RUN
@@ -393,7 +452,7 @@
         return _AttemptResult.FAILED
 
     async def _forward_stream(
-        self, state, head, response, sink, stall_timer, sent_at
+        self, state, head, response, sink, stall_timer, sent_at, evidence
     ) -> _AttemptResult:
         """Forwards events to the client until the stream ends.
 
@@ -413,6 +472,7 @@
                 )
             if not events:
                 continue
+            evidence.record_events(len(events))
             now = deps.clock.now()
             if is_first_chunk:
                 deps.stalls.record_first_event(head.name, now - sent_at)
@@ -449,6 +509,7 @@
             state.is_started = True
         if splitter.remainder:
             await sink.write(splitter.remainder)  # blank lines
+        evidence.record_end()
         await sink.finish()
         deps.health.record_success(head.name)
         return _AttemptResult.DONE
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -81,11 +81,11 @@
     part of an event and a reset (``torn``), or with an open connection that
     stays idle (``silent``). ``broken`` goes before both. The runner crashes
     when it is about to send the first event of a request whose prompt has
-    ``deadly_part``, and starts again after ``RESTART_S``.
+    ``crash_part``, and starts again after ``RESTART_S``.
     """
 
     broken: BrokenAnswer | None = None
-    deadly_part: str = ''
+    crash_part: str = ''
     answer: str = 'whole'
     events: int = 5
     stream_end: str = 'whole'
@@ -391,7 +391,7 @@
         headers.append(('Transfer-Encoding', 'chunked'))
         _send(writer, 200, headers, b'', framed=False)
         prefix = seen.headers.get('prefix-hash', '').split(',')
-        if self.faults.deadly_part in [
+        if self.faults.crash_part in [
             item.partition(':')[0] for item in prefix[:-1]
         ]:
             await asyncio.sleep(EVENT_S)
--- a/tests/platform/test_deadly_parts.py
+++ b/tests/platform/test_quarantine.py
@@ -7,10 +7,12 @@
 import pytest
 
 from plantainway import edge
+from plantainway.platform import _ingress
+from plantainway import traffic
 from tests.platform import conftest
 from tests.platform import runner_standin
 
-DEADLY = 'dead'
+CRASH_PART = 'p1'
 FIRST = 'f0'  # all requests of the tests begin with this part
 # Of the platform's rules: all nodes know after this time what one has learnt,
 # and three requests may reach engines after that.
@@ -23,7 +25,7 @@
 async def nodes(store, runners, node):
     """Three nodes, the first of which leads; engines that can crash."""
     for runner in runners.values():
-        runner.faults.deadly_part = DEADLY
+        runner.faults.crash_part = CRASH_PART
     async with contextlib.AsyncExitStack() as stack:
         others = [
             await stack.enter_async_context(
@@ -45,7 +47,7 @@
 
 
 class Callers:
-    """Sends requests with and without the deadly part, no two alike."""
+    """Sends requests with and without the part, no two alike."""
 
     def __init__(self, client, runners):
         self._client = client
@@ -68,9 +70,9 @@
         )
 
     def arrivals(self):
-        """Returns how many requests with the deadly part reached engines."""
+        """Returns how many requests with the part reached engines."""
         return sum(
-            DEADLY in seen.headers.get('prefix-hash', '')
+            CRASH_PART in seen.headers.get('prefix-hash', '')
             for runner in self._runners.values()
             for seen in runner.seen
         )
@@ -80,7 +82,7 @@
         return sum(runner.crashes for runner in self._runners.values())
 
     async def crash_engines(self, nodes, count=CRASHES_KNOWN):
-        """Sends deadly requests among sound ones until engines have crashed.
+        """Sends such requests among sound ones until engines have crashed.
 
         Returns after the time by which all nodes have to know. Ends sooner if
         no such request reaches an engine any more.
@@ -93,7 +95,9 @@
             for node in itertools.cycle(nodes):
                 before = self.arrivals()
                 await asyncio.gather(
-                    self.send(node, DEADLY), self.send(node), self.send(node)
+                    self.send(node, CRASH_PART),
+                    self.send(node),
+                    self.send(node),
                 )
                 if self.crashes() >= count or self.arrivals() == before:
                     break
@@ -118,7 +122,7 @@
         await self.wait_for_repair()
         for node in nodes * 2:
             seen, crashes = self.arrivals(), self.crashes()
-            got = await self.send(node, DEADLY)
+            got = await self.send(node, CRASH_PART)
             if self.arrivals() == seen:
                 assert got.status == 503
                 assert 'Server-Stamp' not in got.headers
@@ -203,13 +207,99 @@
     nodes, callers, store
 ):
     """What one node learns reaches the others while the store is away."""
-    await callers.send(nodes[1], DEADLY)
+    await callers.send(nodes[1], CRASH_PART)
     await callers.wait_for_repair()
     store.faults.down = True
     before = callers.crashes()
     for one in nodes:
-        await callers.send(one, DEADLY)
+        await callers.send(one, CRASH_PART)
     assert callers.crashes() > before
     await asyncio.sleep(STABLE_S)
     for one in nodes:
-        assert list(one.dump()['quarantined_parts']) == [DEADLY]
+        assert list(one.dump()['quarantined_parts']) == [CRASH_PART]
+
+
+@pytest.mark.parametrize(
+    'has_run, status, runs', [(False, 503, 0), (True, 502, 1)]
+)
+async def test_request_in_progress_is_not_sent_again(
+    node, runners, callers, has_run, status, runs
+):
+    """It is refused as not run only if it has not been sent."""
+    for runner in runners.values():
+        runner.faults.answer = 'hang' if has_run else 'not_run'
+    task = asyncio.ensure_future(callers.send(node, CRASH_PART))
+    await conftest.until(lambda: callers.arrivals(), 'sent')
+    sent = callers.arrivals()
+    node._dependencies.quarantine.add(CRASH_PART)
+    for runner in runners.values():
+        if has_run and runner.seen:
+            await runner.stop()
+    got = await task
+    assert got.status == status
+    assert callers.arrivals() <= sent + (1 - runs)
+
+
+@pytest.mark.parametrize(
+    'text, expected',
+    [
+        ('', ()),
+        ('a:40', ()),
+        ('a:40,b:7', ('a',)),
+        (' a:40 , b:7 ,c:1', ('a', 'b')),
+        ('a,,b:1,c:2', ('a', 'b')),
+        ('x' * 65 + ':1,a:1,b:1', ('a',)),
+        (','.join(f'p{n}:1' for n in range(99)), 64),
+    ],
+)
+def test_shared_parts_are_all_but_the_last(text, expected):
+    """Ids that are too long, and too many, are left out."""
+    found = _ingress._parse_shared_parts(text)
+    assert expected in (found, len(found))
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
+async def test_quarantine_holds_on_all_routes(node, runners, client, path):
+    """A prompt may go to any kind of route."""
+    node._dependencies.quarantine.add('a')
+    for prefix, status in (('b:1,a:1,c:1', 503), ('b:1,c:1,a:1', 200)):
+        got = await conftest.send_request(
+            client,
+            node,
+            path,
+            method='POST',
+            Model='m0',
+            Token_Count='10,10',
+            Prefix_Hash=prefix,
+        )
+        assert got.status == status
+        assert ('Retry-After' in got.headers) == (status == 503)
+    assert sum(len(runner.seen) for runner in runners.values()) == 1
+
+
+async def test_waiting_request_is_refused_once_its_part_is_known(
+    node, runners, callers
+):
+    """It is not sent although its turn has come."""
+    for runner in runners.values():
+        runner.faults.answer = 'hang'
+    capacity = 2 * (4 + traffic.MAX_QUEUED_PER_GROUP)
+    running = [
+        asyncio.ensure_future(callers.send(node)) for _ in range(capacity)
+    ]
+    await conftest.until(
+        lambda: sum(len(one.seen) for one in runners.values()) == capacity,
+        'all full',
+    )
+    waiting = asyncio.ensure_future(callers.send(node, CRASH_PART))
+    await conftest.until(
+        lambda: sum(node.dump()['queues'].values()) == 1, 'waiting'
+    )
+    node._dependencies.quarantine.add(CRASH_PART)
+    for task in running:
+        task.cancel()
+    got = await waiting
+    assert (got.status, callers.arrivals()) == (503, 0)
+    await conftest.until(
+        lambda: sum(node.dump()['loads'].values()) == 0, 'all have ended'
+    )
--- /dev/null
+++ b/tests/quarantine/test_tally.py
@@ -0,0 +1,143 @@
+"""Tests of the decision which part of prompts crashes engines."""
+
+import pytest
+
+from plantainway import clock as clocks
+from plantainway import quarantine
+from plantainway.quarantine import _tally
+
+
+class Setup:
+    """A tally whose clock, engines and reports a test sets."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.gone = set()
+        self.tally = quarantine.CrashTally(
+            self.clock, lambda *key: key in self.gone
+        )
+        self.parts = quarantine.Quarantine(self.clock)
+        self._count = 0
+
+    def crash(self, *prompts, is_gone=True, after_s=0.0):
+        """Reports that an engine crashed under some prompts.
+
+        Args:
+            prompts: Shared parts of each request that was cut off, as words.
+            is_gone: Whether the engine is gone.
+            after_s: Seconds since the crash before.
+        """
+        self.clock.advance(after_s)
+        self._count += 1
+        key = (f'e{self._count}', 1)
+        if is_gone:
+            self.gone.add(key)
+        self.tally.record_reports(
+            [
+                quarantine.CrashReport(*key, prompt.split(), 0)
+                for prompt in prompts
+            ]
+        )
+
+    def convicted(self):
+        """Returns all parts that the tally convicts, in order."""
+        self.clock.advance(_tally.SURVIVAL_ANSWER_S)
+        found = []
+        while (part := self.tally.find_guilty(self.parts)) is not None:
+            self.parts.add(part)
+            found.append(part)
+        return found
+
+
+@pytest.fixture
+def setup():
+    """A tally without evidence."""
+    return Setup()
+
+
+@pytest.mark.parametrize(
+    'crashes, expected',
+    [
+        ([['a p'], ['a p']], []),
+        ([['a p'], ['a p'], ['a p']], ['p']),
+        ([['a p', 'b'], ['a p', 'c'], ['a p', 'b x']], ['p']),
+        # Two parts, each with crashes of its own.
+        ([['a p'], ['a q'], ['a p'], ['a q'], ['a p'], ['a q']], ['p', 'q']),
+        # What a found part explains says nothing against others.
+        ([['a p q'], ['a p q'], ['a p'], ['a p q']], ['p']),
+        # Without a part in common there is nothing to refuse.
+        ([['a x'], ['b y'], ['c z'], ['d u']], []),
+    ],
+)
+def test_part_in_common_is_convicted(setup, crashes, expected):
+    """It takes three crashes; sound parts beside it are left alone."""
+    for prompts in crashes:
+        setup.crash(*prompts, after_s=0.3)
+    setup.tally.record_survivals({'a': 2000, 'b': 100, 'c': 100})
+    assert setup.convicted() == expected
+
+
+@pytest.mark.parametrize(
+    'crashes, gap_s, survived_ms, expected',
+    [
+        (3, 0.0, None, ['p']),
+        (3, 0.0, 9000, []),
+        (3, 0.0, 11000, ['p']),
+        (3, 0.3, 100, []),
+        # Engines that are lost together cut off many prompts at once.
+        (9, 0.0, 1000, []),
+        (9, 0.1, 9000, []),
+        # A part that used to be sound.
+        (5, 0.3, 3000, ['p']),
+        (4, 0.4, 3000, []),
+    ],
+)
+def test_part_that_survived_takes_more_crashes(
+    setup, crashes, gap_s, survived_ms, expected
+):
+    """Popular parts stand in requests on each engine that is lost."""
+    for _ in range(crashes):
+        setup.crash('p', after_s=gap_s)
+    if survived_ms is not None:
+        setup.tally.record_survivals({'p': survived_ms})
+    assert setup.convicted() == expected
+
+
+def test_answer_that_breaks_off_is_no_crash(setup):
+    """An engine that is still there has only broken off its answer."""
+    for _ in range(9):
+        setup.crash('a p', is_gone=False, after_s=0.2)
+    assert setup.convicted() == []
+    setup.clock.advance(_tally.CONFIRM_S)
+    setup.gone.update((f'e{number}', 1) for number in range(1, 10))
+    assert setup.convicted() == []
+    assert setup.tally.watched_parts() == []
+
+
+def test_nodes_are_asked_before_a_part_is_convicted(setup):
+    """Its survivals on other nodes arrive with their next heartbeats."""
+    for _ in range(3):
+        setup.crash('a p')
+    assert setup.tally.find_guilty(setup.parts) is None
+    assert setup.tally.watched_parts() == ['a', 'p']
+    setup.tally.record_survivals({'a': 100, 'p': 100})
+    assert setup.convicted() == []
+
+
+def test_one_crash_suffices_on_probation(setup):
+    """A part that was quarantined before is not given three crashes."""
+    setup.parts.merge({'p': -1000})
+    setup.crash('a p')
+    assert setup.convicted() == ['p']
+
+
+def test_evidence_is_bounded(setup):
+    """The oldest crashes go first, and all go after ``CRASH_TTL_S``."""
+    for number in range(_tally.CRASHES_MAX + 5):
+        setup.crash(f'p{number}', after_s=0.01)
+    assert len(setup.tally._crashes) == _tally.CRASHES_MAX
+    assert 'p0' not in setup.tally._suspects
+    assert len(setup.tally.watched_parts()) <= _tally.PARTS_MAX
+    setup.clock.advance(_tally.CRASH_TTL_S)
+    assert setup.convicted() == []
+    assert not setup.tally._crashes and not setup.tally._suspects
