--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -40,6 +40,7 @@
         address: ``IP:PORT`` of this node's hub; set before ``run``.
         on_renewal_attempt: Called after a renewal was written or failed,
             unless it raised an error or the lease was then released.
+        on_acquired: Called after this node has become the leader.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.address = ''
         self._is_leaving = False
         self.on_renewal_attempt = []
+        self.on_acquired = []
 
     async def run(self) -> None:
         """Leads or follows until cancelled."""
@@ -188,6 +190,8 @@
         self._hub.adopt_nodes(self._leader_link.nodes)
         self._record_renewal()
         logs.event('leadership_taken', term=leadership.term)
+        for listener in self.on_acquired:
+            listener()
         return True
 
     def _link_to_leader(self) -> None:
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -200,6 +200,9 @@
         self._quarantine.on_change.append(self._hub.send_soon)
         self._leader_link.on_update.append(self._handle_leader_update)
         self._election.on_renewal_attempt.append(self._handle_renewal)
+        self._election.on_acquired.append(
+            lambda: self._spawn(self._quarantine.store())
+        )
 
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(coroutine)
