Keep what is kept by version when the store is restored from a copy

The store may come back from a copy some seconds old: its versions go back and are given out again, and Store-Era rises. Tables kept the rows of the lost versions and missed changes under versions given out again; a renewal of the lease could meet its condition by chance and overwrite another holder's row; a candidate could take a lease that the copy shows as free while its holder counted on it; terms, and with them epochs, could go back.

The store's era now is part of each version that the project keeps, above bit 44. So versions grow over a restore wherever they are compared: rows, relayed updates, the lease, its observer. A leader whose lease still holds writes it over the row of the copy; all others wait for a whole term; terms exceed those known and those found in the epochs of groups.

--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -59,6 +59,18 @@
         """Returns the seconds since the rows were last known to be current."""
         return self._clock.now() - self.current_as_of
 
+    def record_restore(self) -> float:
+        """Starts the time in which writers restore what a copy lacks.
+
+        Returns:
+            Seconds for which the rows known here are better than those of
+            the store; 0 unless removals are deferred.
+        """
+        if not self._defers_removals:
+            return 0.0
+        self._grace_until = self._clock.now() + REMOVAL_GRACE_S
+        return REMOVAL_GRACE_S
+
     def record_failure(self) -> None:
         """Records that a read from the store failed.
 
--- a/plantainway/cluster/_leadership.py
+++ b/plantainway/cluster/_leadership.py
@@ -43,6 +43,9 @@
     Attributes:
         holder: Value of the lease row as last read or written.
         version: Version of the lease row as last read or written.
+        newest_used_term: Function that returns the newest term whose traces
+            are found outside the lease row, which may be older; set by the
+            node.
     """
 
     def __init__(self, node: str, incarnation: str, table, clock):
@@ -56,6 +59,10 @@
         self.address = ''
         self.holder: Holder | None = None
         self.version = stores.ABSENT
+        self.newest_used_term = int
+        self._newest_term = 0
+        self._restores_seen = 0
+        self._may_acquire_from = float('-inf')
         self._has_read_lease = False
         self._is_outcome_unknown = False
 
@@ -80,6 +87,7 @@
         """
         row = await self._table.read(LEASE_KEY)
         now = self._clock.now()
+        self._record_restore(now)
         self._has_read_lease = True
         if row is None:
             self.holder, self.version = None, stores.ABSENT
@@ -87,8 +95,18 @@
             return
         self._observe(Holder(**row.value), row.version)
 
+    def _record_restore(self, now: float) -> None:
+        """Starts a term of waiting if the store was restored from a copy.
+
+        The row may lack a lease that its holder still counts on.
+        """
+        if self._table.restore_count > self._restores_seen:
+            self._may_acquire_from = now + LEASE_TERM_S
+        self._restores_seen = self._table.restore_count
+
     def _observe(self, holder: Holder, version: int) -> None:
         self.holder, self.version = holder, version
+        self._newest_term = max(self._newest_term, holder.term)
         self._observer.observe(version, holder.node, self._clock.now())
 
     def observe_renewal(self, version: int) -> None:
@@ -113,13 +131,14 @@
             delay_s: Seconds to wait beyond the term, in favour of other
                 candidates.
         """
-        if not self._has_read_lease:
+        now = self._clock.now()
+        if not self._has_read_lease or now < self._may_acquire_from + delay_s:
             return False
         if self._is_held_by_earlier_process():
             return (
                 True  # this process has its port, so the earlier one has ended
             )
-        return self._observer.is_expired(self._clock.now(), delay_s)
+        return self._observer.is_expired(now, delay_s)
 
     def _is_held_by_earlier_process(self) -> bool:
         """Returns whether an earlier process of this node holds the lease."""
@@ -135,10 +154,16 @@
 
         Returns:
             Whether this node is the leader now. ``False`` also if the
-            outcome of the write stays unknown.
+            outcome of the write stays unknown, or if the store was restored
+            from a copy since the row was read.
         """
-        term = self.term + 1
-        return await self._write(Holder(self._id, address, term, 0))
+        term = max(self._newest_term, self.newest_used_term()) + 1
+        try:
+            return await self._write(Holder(self._id, address, term, 0))
+        except errors.StoreRestoredError as exc:
+            self._deadline = float('-inf')
+            logs.event('lease_void', term=term, reason=exc.message)
+            return False
 
     async def renew(self) -> bool:
         """Renews the lease; called every ``RENEW_EVERY_S`` by the leader.
@@ -157,9 +182,41 @@
         if self._is_outcome_unknown:
             await self._resolve_unknown_renewal()
         holder = self.holder
-        return await self._write(
-            dataclasses.replace(holder, count=holder.count + 1)
-        )
+        renewed = dataclasses.replace(holder, count=holder.count + 1)
+        try:
+            return await self._write(renewed)
+        except errors.StoreRestoredError as exc:
+            return await self._renew_restored(renewed, exc)
+
+    async def _renew_restored(self, holder: Holder, exc) -> bool:
+        """Renews the lease over the row of a copy, while it still holds.
+
+        No other node may have acquired it: the row was unchanged for less
+        than a term, and after a restore others wait for a whole one.
+
+        Args:
+            holder: Value to write.
+            exc: Error of the write under the version from before.
+
+        Returns:
+            Whether the renewal is known to be written.
+        """
+        if exc.took_effect:
+            # Another holder's row may have been overwritten.
+            self._deadline = float('-inf')
+            logs.event('lease_void', term=holder.term, reason=exc.message)
+            return False
+        row = await self._table.read(LEASE_KEY)
+        self._record_restore(self._clock.now())
+        if not self.is_leader():
+            return False
+        self.version = row.version if row else stores.ABSENT
+        try:
+            return await self._write(holder)
+        except errors.StoreRestoredError as again:
+            logs.event('lease_void', term=holder.term, reason=again.message)
+            self._deadline = float('-inf')
+            return False
 
     async def _resolve_unknown_renewal(self) -> None:
         """Reads whether a write with an unknown outcome took effect."""
@@ -194,7 +251,10 @@
         if not self.is_leader():
             return
         self._deadline = float('-inf')
-        await self._write(dataclasses.replace(self.holder, node=''))
+        try:
+            await self._write(dataclasses.replace(self.holder, node=''))
+        except errors.StoreRestoredError as exc:
+            logs.event('lease_void', term=self.term, reason=exc.message)
         self._deadline = float('-inf')
 
     async def _write(self, holder: Holder) -> bool:
--- a/plantainway/edge/_feeds.py
+++ b/plantainway/edge/_feeds.py
@@ -45,12 +45,29 @@
             try:
                 await self._step()
                 self._failures = 0
+            except errors.StoreRestoredError as exc:
+                await self._await_writers(exc)
             except errors.HistoryLostError:
                 logs.event('history_lost', table=self._table.name)
                 await self._read_all(handles_failure=True)
             except errors.StoreUnavailableError as exc:
                 await self._handle_failure(exc)
 
+    async def _await_writers(self, exc) -> None:
+        """Waits until a restored table has been written again, and reads it.
+
+        Until then its rows may be older than those known here.
+        """
+        wait_s = self._table.record_restore()
+        logs.event(
+            'table_restored',
+            table=self._table.name,
+            wait_s=wait_s,
+            reason=exc.message,
+        )
+        await asyncio.sleep(wait_s)
+        await self._read_all(handles_failure=True)
+
     async def _handle_failure(self, exc) -> None:
         self._failures += 1
         self._table.record_failure()
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -155,6 +155,7 @@
         self._leadership = cluster.Leadership(
             cfg.node, uuid.uuid4().hex[:8], self._store, clock
         )
+        self._leadership.newest_used_term = view.newest_used_term
         self._loop_monitor = _lateness.LoopMonitor(
             self._leadership.is_leader, clock
         )
--- a/plantainway/edge/_quarantine.py
+++ b/plantainway/edge/_quarantine.py
@@ -102,6 +102,8 @@
                 remaining_ms and self._clock.now() >= self._refresh_at
             ):
                 await self._write_row(remaining_ms)
+        except errors.StoreRestoredError:
+            self._term_read = 0  # the row may be gone, or an older one
         except errors.StoreUnavailableError as exc:
             logs.event('quarantine_not_stored', reason=exc.message)
         finally:
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -7,6 +7,7 @@
 from plantainway import errors
 from plantainway import logs
 from plantainway import platform
+from plantainway import supply
 
 
 class PlatformView:
@@ -60,6 +61,17 @@
         """Returns the age in seconds of the table that is less current."""
         return max(item.age_s() for item in self.tables)
 
+    def newest_used_term(self) -> int:
+        """Returns the newest term of a leader that formed a known group."""
+        return max(
+            (
+                supply.term_of_epoch(item.membership.epoch)
+                for item in self.book.by_name.values()
+                if item.membership is not None
+            ),
+            default=0,
+        )
+
     def mark_head_open(self, name: str, member) -> None:
         """Marks a head as open because the leader reports it as serving.
 
--- a/plantainway/errors.py
+++ b/plantainway/errors.py
@@ -186,6 +186,28 @@
     http_status = 410
 
 
+class StoreRestoredError(HistoryLostError):
+    """The store came back from a copy; versions known before are void.
+
+    Args:
+        took_effect: Whether a write took effect although its conditions were
+            meant for versions from before.
+    """
+
+    code = 'store_restored'
+    http_status = 503
+
+    def __init__(
+        self,
+        message: str,
+        step: str = '',
+        peer: str = '',
+        took_effect: bool = False,
+    ):
+        super().__init__(message, step, peer)
+        self.took_effect = took_effect
+
+
 class OutcomeInDoubtError(PlantainwayError):
     """Whether a transaction committed was not known by its deadline."""
 
--- a/plantainway/platform/_names.py
+++ b/plantainway/platform/_names.py
@@ -14,6 +14,7 @@
 REQUEST_ID = 'Request-Id'
 RETRY_AFTER = 'Retry-After'
 SERVER_STAMP = 'Server-Stamp'
+STORE_ERA = 'Store-Era'
 TOKEN_COUNT = 'Token-Count'
 
 # Environment variable with the path of the node's settings file.
--- a/plantainway/platform/_store.py
+++ b/plantainway/platform/_store.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from plantainway import errors
+from plantainway import logs
 from plantainway.platform import _messages
 from plantainway.platform import _names
 from plantainway import stores
@@ -21,6 +22,10 @@
 MAX_PAGE_ROWS = 500  # the store returns no more at once
 STATUS_HISTORY_LOST = 410
 STATUS_PRECONDITION_FAILED = 412
+# Versions of the project hold the store's era above this bit, so that they
+# grow even when the store gives out a version again.
+ERA_SHIFT = 44
+ERA_UNKNOWN = -1
 
 
 class PlatformStore(stores.BaseTable, stores.BaseFeed):
@@ -35,6 +40,8 @@
 
     Attributes:
         call_count: Number of HTTP calls made so far.
+        era: How often the store has come back from a copy, as its last answer
+            says; ``ERA_UNKNOWN`` before the first.
     """
 
     def __init__(self, address: str, session: aiohttp.ClientSession):
@@ -42,6 +49,12 @@
         self._address = address
         self._session = session
         self.call_count = 0
+        self.era = ERA_UNKNOWN
+
+    @property
+    def restore_count(self) -> int:
+        """Returns how often the store was restored; see the base class."""
+        return max(self.era, 0)
 
     async def _call(
         self, method: str, path: str, body=None, wait_s: float = 0.0
@@ -77,6 +90,7 @@
             raise errors.StoreUnavailableError(
                 repr(exc)[:120], step, self._address
             )
+        self._record_era(resp, step)
         if resp.status not in (
             200,
             STATUS_PRECONDITION_FAILED,
@@ -92,6 +106,42 @@
                 'response body is not JSON', step, self._address
             )
 
+    def _record_era(self, resp, step: str) -> None:
+        try:
+            era = int(resp.headers.get(_names.STORE_ERA, 0))
+        except ValueError:
+            era = ERA_UNKNOWN
+        if era < max(self.era, 0):
+            raise errors.StoreUnavailableError(
+                f'answer of era {era} after one of era {self.era}',
+                step,
+                self._address,
+            )
+        if self.era not in (ERA_UNKNOWN, era):
+            logs.event('store_restored', era=era, before=self.era, step=step)
+        self.era = era
+
+    def _version(self, version) -> int:
+        """Returns a version of the store's current era as one of its own."""
+        return (self.era << ERA_SHIFT) + int(version)
+
+    def _ensure_same_era(
+        self, version: int, step: str, took_effect: bool = False
+    ) -> None:
+        """Raises an error if a version is from an earlier era.
+
+        Raises:
+            StoreRestoredError: With ``took_effect`` as given.
+        """
+        is_known = self.era != ERA_UNKNOWN and version != stores.ABSENT
+        if is_known and version >> ERA_SHIFT != self.era:
+            raise errors.StoreRestoredError(
+                f'version of era {version >> ERA_SHIFT} in era {self.era}',
+                step,
+                self._address,
+                took_effect,
+            )
+
     async def _read_body(self, resp, timeout) -> bytes:
         """Reads a body, and extends the timeout as long as it arrives.
 
@@ -116,6 +166,7 @@
     ) -> stores.RowBatch:
         rows = []
         version = None
+        step = _names.GET_PATH
         while True:
             query = {'table': table, 'part': '', 'limit': MAX_PAGE_ROWS}
             if first:
@@ -127,7 +178,11 @@
             )
             if status != 200:
                 raise errors.StoreUnavailableError(
-                    f'status {status}', _names.GET_PATH, self._address
+                    f'status {status}', step, self._address
+                )
+            if version is not None and version >> ERA_SHIFT != self.era:
+                raise errors.StoreUnavailableError(
+                    'restored between two pages', step, self._address
                 )
             page = [
                 self._decode_raw_row(item) for item in body.get('rows', ())
@@ -137,7 +192,7 @@
                 # The pages are read at different versions. The version of
                 # the first one is returned, so that the feed repeats each
                 # change made since then.
-                version = int(body.get('ver', 0))
+                version = self._version(body.get('ver', 0))
             if not body.get('morePages') or not page:
                 return stores.RowBatch(tuple(rows), version)
             first = page[-1].key + '\0'
@@ -147,11 +202,16 @@
     ) -> stores.RowBatch:
         """Returns the changes made after a version; see the base class."""
         query = urllib.parse.urlencode(
-            {'table': table, 'after': after, 'waitMs': int(wait_s * 1000)}
+            {
+                'table': table,
+                'after': after & ((1 << ERA_SHIFT) - 1),
+                'waitMs': int(wait_s * 1000),
+            }
         )
         status, body = await self._call(
             'GET', f'{_names.FEED_PATH}?{query}', wait_s=wait_s
         )
+        self._ensure_same_era(after, _names.FEED_PATH)
         if status == STATUS_HISTORY_LOST:
             raise errors.HistoryLostError(
                 f'changes after version {after} are no longer stored',
@@ -161,7 +221,8 @@
         rows = tuple(
             self._decode_raw_row(item) for item in body.get('rows', ())
         )
-        return stores.RowBatch(rows, max(int(body.get('ver', after)), after))
+        version = self._version(body.get('ver', 0))
+        return stores.RowBatch(rows, max(version, after))
 
     def _decode_raw_row(self, item: dict) -> stores.RawRow:
         value = None
@@ -171,7 +232,7 @@
             except (binascii.Error, ValueError, TypeError):
                 value = b''
         return stores.RawRow(
-            str(item.get('key', '')), value, int(item.get('ver', 0))
+            str(item.get('key', '')), value, self._version(item.get('ver', 0))
         )
 
     async def read(self, key: str) -> stores.Row | None:
@@ -189,9 +250,14 @@
 
     async def commit(self, txn: stores.Transaction) -> stores.CommitResult:
         """Commits a transaction to the project's table; see the base class."""
+        for check in txn.checks:
+            self._ensure_same_era(check.version, _names.TRANSACTION_PATH)
         body = {
             'expectedRev': [
-                {**_row_address(check.key), 'ver': check.version}
+                {
+                    **_row_address(check.key),
+                    'ver': check.version & ((1 << ERA_SHIFT) - 1),
+                }
                 for check in txn.checks
             ],
             'puts': [
@@ -220,6 +286,11 @@
             # Even if the store refused this call, an earlier attempt to
             # commit the same transaction may still take effect.
             return stores.CommitResult(stores.Outcome.UNKNOWN, exc.message)
+        for check in txn.checks:
+            # A version that was given out again may have met the condition.
+            self._ensure_same_era(
+                check.version, _names.TRANSACTION_PATH, status == 200
+            )
         if status == STATUS_PRECONDITION_FAILED:
             return stores.CommitResult(
                 stores.Outcome.NOT_COMMITTED,
@@ -229,7 +300,8 @@
                 ),
             )
         return stores.CommitResult(
-            stores.Outcome.COMMITTED, version=int(answer.get('ver', 0))
+            stores.Outcome.COMMITTED,
+            version=self._version(answer.get('ver', 0)),
         )
 
 
--- a/plantainway/stores/_table.py
+++ b/plantainway/stores/_table.py
@@ -75,7 +75,16 @@
 
 
 class BaseTable(abc.ABC):
-    """Table of rows, ordered by key, with multi-row transactions."""
+    """Table of rows, ordered by key, with multi-row transactions.
+
+    Versions only grow, also where the service is restored from a copy.
+
+    Attributes:
+        restore_count: How often the service was restored from a copy, as far
+            as its answers have told.
+    """
+
+    restore_count: int = 0
 
     @abc.abstractmethod
     async def read(self, key: str) -> Row | None:
@@ -117,6 +126,10 @@
             The result. Call failures are reported as an outcome instead of
             an exception, since a failure after sending leaves the outcome
             unknown.
+
+        Raises:
+            StoreRestoredError: If the service was restored from a copy since
+                the checked versions were read.
         """
 
 
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -28,6 +28,15 @@
 _Kind = _orders.OrderKind
 
 
+def term_of_epoch(epoch: int) -> int:
+    """Returns the term of the leader that used an epoch.
+
+    Args:
+        epoch: Epoch of a group.
+    """
+    return epoch // EPOCHS_PER_TERM
+
+
 class GroupController:
     """Plans the groups of one service and sends orders to its engines.
 
--- a/tests/cluster/test_leadership.py
+++ b/tests/cluster/test_leadership.py
@@ -174,3 +174,93 @@
     assert not await first.renew()
     assert not first.is_leader()
     assert second.term > first.term
+
+
+@pytest.mark.parametrize('copied', ['before_lease', 'before_renewal'])
+async def test_leader_keeps_its_lease_when_the_store_is_restored(
+    server, table, clock, copied
+):
+    """The row of the copy is older, or not there."""
+    leader = _node('n1', table, clock)
+    if copied == 'before_lease':
+        server.copy()
+    assert await _acquire(leader)
+    if copied == 'before_renewal':
+        server.copy()
+    clock.advance(_leadership.RENEW_EVERY_S)
+    assert await leader.renew()
+    version = leader.version
+    server.restore()
+    clock.advance(_leadership.RENEW_EVERY_S)
+    assert await leader.renew()
+    assert leader.is_leader() and leader.term == 1
+    assert leader.version > version
+    assert await leader.renew()
+
+
+@pytest.mark.parametrize('copied', ['absent', 'released', 'other_holder'])
+async def test_others_wait_for_a_term_after_a_restore(
+    server, table, clock, copied
+):
+    """Its holder may count on a lease that the copy lacks."""
+    first = _node('n0', table, clock)
+    if copied != 'absent':
+        assert await _acquire(first)
+    if copied == 'released':
+        await first.release()
+    server.copy()
+    clock.advance(_leadership.LEASE_TERM_S + 0.1)
+    second_table = platform.PlatformStore(server.address, table._session)
+    candidate = _node('n2', second_table, clock)
+    await candidate.read_lease()
+    clock.advance(_leadership.LEASE_TERM_S + 0.1)
+    leader = _node('n1', table, clock)
+    await leader.read_lease()
+    clock.advance(_leadership.LEASE_TERM_S + 0.1)
+    assert await leader.acquire('10.0.0.1:1')
+    server.restore()
+    await candidate.read_lease()
+    assert not candidate.may_acquire(0.0)
+    clock.advance(_leadership.LEASE_TERM_S - 0.01)
+    assert not leader.is_leader()
+    assert not candidate.may_acquire(0.0)
+    clock.advance(0.02)
+    assert candidate.may_acquire(0.0)
+    assert await candidate.acquire('10.0.0.2:1')
+    assert not await leader.renew()
+
+
+async def test_renewal_that_met_a_version_given_out_again_ends_the_lease(
+    server, table, clock
+):
+    """It has overwritten another row than the one it was meant for."""
+    server.copy()
+    leader = _node('n1', table, clock)
+    assert await _acquire(leader)
+    server.restore()
+    other_table = platform.PlatformStore(server.address, table._session)
+    other = _node('n2', other_table, clock)
+    assert await _acquire(other)
+    assert not await leader.renew()
+    assert not leader.is_leader()
+
+
+@pytest.mark.parametrize(
+    'known_term, used_term, expected', [(3, 0, 4), (0, 7, 8), (3, 1, 4)]
+)
+async def test_term_does_not_go_back_with_the_store(
+    server, table, clock, known_term, used_term, expected
+):
+    """Epochs of groups grow with it; engines remember them."""
+    server.copy()
+    node = _node('n1', table, clock)
+    for _ in range(known_term):
+        await node.read_lease()
+        assert await node.acquire('10.0.0.1:1')
+    server.restore()
+    node.newest_used_term = lambda: used_term
+    clock.advance(10 * _leadership.LEASE_TERM_S)
+    await node.read_lease()
+    assert node.holder is None
+    assert await node.acquire('10.0.0.1:1')
+    assert node.term == expected
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -43,6 +43,8 @@
         self.faults = StoreFaults()
         self.page_rows = page_rows
         self.version = 0
+        self.era = 0
+        self._copy = None
         self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
         self.calls: list[str] = []
         self._history: list[tuple[str, str, str, bytes | None, int]] = []
@@ -95,6 +97,17 @@
             self._apply(body)
         self._held_writes.clear()
 
+    def copy(self) -> None:
+        """Makes the copy to which ``restore`` goes back."""
+        self._copy = (self.version, dict(self.rows), list(self._history))
+
+    def restore(self) -> None:
+        """Comes back from the copy: later writes and versions are lost."""
+        self.version, rows, history = self._copy
+        self.rows, self._history = dict(rows), list(history)
+        self.era += 1
+        self._notify_waiting_feeds()
+
     def forget_history(self) -> None:
         """Deletes the history of changes; older versions get status 410."""
         self._history.clear()
@@ -113,11 +126,15 @@
 
     def _app(self) -> web.Application:
         app = _server.new_app()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get('/plantainway/rows-get', self._get)
         app.router.add_get('/plantainway/rows-feed', self._feed)
         app.router.add_post('/plantainway/rows-tx', self._transact)
         return app
 
+    async def _add_era(self, _request, response) -> None:
+        response.headers['Store-Era'] = str(self.era)
+
     def _check(self, request, name: str) -> None:
         self.calls.append(name)
         if self.faults.down:
@@ -167,11 +184,14 @@
     async def _feed(self, request) -> web.Response:
         self._check(request, 'feed')
         table, after = request.query['table'], int(request.query['after'])
-        if after < self._forgotten:
+        if after < self._forgotten or after > self.version:
             return web.Response(status=410)
         wait_s = int(request.query['waitMs']) / 1000
         deadline = asyncio.get_running_loop().time() + wait_s
+        era = self.era
         while True:
+            if era != self.era:
+                _server.abort(request)  # it was away for a moment
             rows = [
                 _row(name, part, key, value, version)
                 for name, part, key, value, version in self._history
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -128,3 +128,90 @@
         return
     with pytest.raises(errors.StoreUnavailableError):
         await client.changes('op', 0, 0.0)
+
+
+@pytest.mark.parametrize('writes_after', [0, 1, 2, 5])
+async def test_changes_after_a_restore_are_not_taken_for_all(
+    server, client, writes_after
+):
+    """Also where the version asked for was given out again."""
+    server.put('servers', 'a', {'n': 1})
+    server.copy()
+    server.put('servers', 'a', {'n': 2})
+    server.put('servers', 'b', {'n': 2})
+    known = (await client.snapshot('servers')).version
+    server.restore()
+    for number in range(writes_after):
+        server.put('servers', f'c{number}', {'n': 3})
+    with pytest.raises(errors.StoreRestoredError):
+        await client.changes('servers', known, 0.0)
+    reading = await client.snapshot('servers')
+    assert reading.version > known
+    assert all(row.version > known for row in reading.rows)
+    assert len(reading.rows) == 1 + writes_after
+    later = await client.changes('servers', reading.version, 0.0)
+    assert later.rows == ()
+
+
+@pytest.mark.parametrize(
+    'writes_after, knows_restore, took_effect',
+    [
+        (0, False, False),
+        (1, False, True),
+        (1, True, False),
+        (2, False, False),
+    ],
+)
+async def test_condition_from_before_a_restore_does_not_count(
+    server, client, writes_after, knows_restore, took_effect
+):
+    """A version that was given out again may meet it by chance."""
+    server.copy()
+    result = await client.commit(_txn('k', stores.ABSENT, {'n': 1}))
+    server.restore()
+    for number in range(writes_after):
+        other = platform.PlatformStore(server.address, client._session)
+        row = await other.read('k')
+        version = row.version if row else stores.ABSENT
+        await other.commit(_txn('k', version, {'other': number}))
+    if knows_restore:
+        await client.read('k')
+    with pytest.raises(errors.StoreRestoredError) as info:
+        await client.commit(_txn('k', result.version, {'n': 2}))
+    assert info.value.took_effect is took_effect
+    row = await client.read('k')
+    again = await client.commit(
+        _txn('k', row.version if row else stores.ABSENT, {'n': 3})
+    )
+    assert again.outcome is OUTCOME.COMMITTED
+    assert again.version > result.version
+
+
+async def test_restore_between_two_pages_is_no_snapshot(server, client):
+    """Rows of two eras are never put together."""
+    for number in range(5):
+        server.put('servers', f'k{number}', {'n': number})
+    server.copy()
+    call = client._call
+
+    async def call_and_restore(*args, **kwargs):
+        found = await call(*args, **kwargs)
+        if server.era == 0:
+            server.restore()
+        return found
+
+    client._call = call_and_restore
+    with pytest.raises(errors.StoreUnavailableError):
+        await client.snapshot('servers')
+    assert len((await client.snapshot('servers')).rows) == 5
+
+
+async def test_answer_from_before_a_restore_is_dropped(server, client):
+    """It may arrive after one that names the restore."""
+    server.put('servers', 'a', {'n': 1})
+    server.era = 3
+    await client.snapshot('servers')
+    server.era = 2
+    with pytest.raises(errors.StoreUnavailableError):
+        await client.snapshot('servers')
+    assert client.restore_count == 3
