End connections with interim answers without end

The HTTP library drops interim answers and waits for the next, without a limit. The protocol of the connections now counts them by request and aborts the connection after 16; one or two are passed over as before.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -562,6 +562,13 @@
         '',
         'tests/platform/test_store_restored.py',
     ),
+    Mutant(
+        'interim answers are bounded',
+        'plantainway/platform/_connections.py',
+        'self.transport.abort()',
+        'pass',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a refusal whose body does not end stays a refusal',
         'plantainway/traffic/_plain.py',
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -9,6 +9,7 @@
 
 from plantainway import deployment
 from plantainway import errors
+from plantainway.platform import _connections
 from plantainway.platform import _messages
 from plantainway.platform import _names
 from plantainway import supply
@@ -66,7 +67,7 @@
     if not connection_per_request:
         options = {'keepalive_timeout': KEEPALIVE_TIMEOUT_S}
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=_connections.BoundedConnector(
             limit=0, socket_factory=_open_socket, **options
         ),
         auto_decompress=False,
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -70,6 +70,7 @@
     - ``error_truncated``: status 500 with a truncated body;
     - ``reset``: a connection reset before any answer;
     - ``hang``: no answer;
+    - ``interim``: two interim answers before a complete one;
     - ``endless_head``, ``endless_field``, ``endless_fields``,
       ``endless_interim``: bytes without a line end, a header field, header
       fields or interim answers until the client closes the connection;
@@ -304,6 +305,10 @@
         elif answer_mode == 'reset':
             _reset(writer)
             raise _Closed
+        elif answer_mode == 'interim':
+            for status in (100, 103):
+                writer.write(b'HTTP/1.1 %d X\r\n\r\n' % status)
+            _send(writer, 200, headers, self.body)
         elif answer_mode == 'hang':
             await self._wait_for_close(reader, seen)
         elif answer_mode in _ENDLESS:
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -57,6 +57,7 @@
         ('unsafe', 'other_id', 502, 1),
         ('unsafe', 'unframed_reset', 502, 1),
         ('unsafe', 'unframed', 200, 1),
+        ('unsafe', 'interim', 200, 1),
         ('unsafe', 'whole', 200, 1),
     ],
 )
