Load weights with a reserve before the first request

Until the first request 2.5 times as many loads run at once as run at full speed, instead of 4/3. The limits after the first request are as before.

--- a/plantainway/supply/_pacing.py
+++ b/plantainway/supply/_pacing.py
@@ -5,6 +5,9 @@
 from plantainway import deployment
 
 CONCURRENT_LOADS_RATIO = 4 / 3  # of the loads that run at full speed
+# Loads before the first request are so short that the store would idle
+# between them.
+STARTUP_LOADS_RATIO = 2.5
 LOAD_RATE_RATIO = 0.8  # of the load rate of the weight store
 MAX_LOAD_TIME_RATIO = 1.6  # concurrent loads slow each other down
 MAX_STARTUP_LOAD_S = 12.0  # before the first request
@@ -53,9 +56,12 @@
             now: Monotonic seconds.
         """
         loading = loading_spares + _count_loading_members(engines, groups)
-        max_loads = math.ceil(
-            self.profile.max_concurrent_loads * CONCURRENT_LOADS_RATIO
+        ratio = (
+            CONCURRENT_LOADS_RATIO
+            if self.traffic_seen
+            else STARTUP_LOADS_RATIO
         )
+        max_loads = math.ceil(self.profile.max_concurrent_loads * ratio)
         free_loads = max(max_loads - loading, 0)
         if not self.traffic_seen:
             return free_loads
