Let engines write their entries before a new leader adopts groups

Cause: the new leader's table was current, but engines write their entries again up to two seconds after the store's return, so the entry still showed the engine outside of any group. The leader before knew better from reports, which a new one does not have.

A new leader now adopts groups only once the 2 s are over in which removals are deferred, too.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -569,6 +569,20 @@
         'pass',
         'tests/platform/test_node_requests.py',
     ),
+    Mutant(
+        'a new leader waits for entries after an outage',
+        'plantainway/supply/_control.py',
+        'if now < self._settles_at():',
+        'if False:',
+        'tests/supply/test_control.py',
+    ),
+    Mutant(
+        'a reserve of loads before the first request',
+        'plantainway/supply/_pacing.py',
+        'STARTUP_LOADS_RATIO = 2.5',
+        'STARTUP_LOADS_RATIO = 4 / 3',
+        'tests/supply/test_startup.py',
+    ),
     Mutant(
         'a refusal whose body does not end stays a refusal',
         'plantainway/traffic/_plain.py',
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -55,6 +55,15 @@
         """Returns whether a snapshot has been applied."""
         return self.version >= 0
 
+    @property
+    def settles_at(self) -> float:
+        """Returns until when writers may still restore their rows.
+
+        After an outage of the store rows are current as far as the store
+        goes, but may show what their writers knew before. Monotonic seconds.
+        """
+        return self._grace_until
+
     def age_s(self) -> float:
         """Returns the seconds since the rows were last known to be current."""
         return self._clock.now() - self.current_as_of
--- a/plantainway/edge/_fleet.py
+++ b/plantainway/edge/_fleet.py
@@ -50,6 +50,7 @@
             self._clock,
             self._spawn,
             self._view.upstreams_as_of,
+            self._view.upstreams_settle_at,
         )
         controller.head_overrides.on_change.append(self._notify_heads_changed)
         self._controllers[service] = controller
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -57,6 +57,10 @@
         """Returns the monotonic time at which the upstreams were current."""
         return self.upstream_table.current_as_of
 
+    def upstreams_settle_at(self) -> float:
+        """Returns the monotonic time from which entries show no old state."""
+        return self.upstream_table.settles_at
+
     def oldest_table_age_s(self) -> float:
         """Returns the age in seconds of the table that is less current."""
         return max(item.age_s() for item in self.tables)
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -49,6 +49,8 @@
         spawn: Function that runs a coroutine as a task.
         current_as_of: Function that returns the monotonic time at which the
             upstream book was last known to be current.
+        settles_at: Function that returns the monotonic time until which
+            entries may still show their state from before an outage.
 
     Attributes:
         service: Name of the service.
@@ -64,6 +66,7 @@
         clock,
         spawn,
         current_as_of,
+        settles_at,
     ):
         self.service = service
         self._client = client
@@ -71,6 +74,7 @@
         self._clock = clock
         self._spawn = spawn
         self._current_as_of = current_as_of
+        self._settles_at = settles_at
         self._pending_term_since = float('-inf')
         self._pending_term = 0
         self._engines = _contacts.EngineTracker(
@@ -210,7 +214,8 @@
         """Adopts the existing groups when a new term begins.
 
         Does so only once the entries are recent enough to show the effect
-        of the last leader's orders.
+        of the last leader's orders. It may have led through an outage of the
+        store, after which engines take some time to write theirs.
 
         Returns:
             Whether the groups of this term have been adopted.
@@ -222,6 +227,8 @@
             self._pending_term_since = now
         if self._current_as_of() < self._pending_term_since + ENTRY_LAG_S:
             return False
+        if now < self._settles_at():
+            return False
         self._term = self._leadership.term
         self._epochs_used = 0
         self._adopt(now)
--- a/tests/supply/fake_engines.py
+++ b/tests/supply/fake_engines.py
@@ -53,6 +53,9 @@
 
     Attributes:
         is_store_down: Stops all updates of the entries while set.
+        are_entries_old: Whether the store answers with entries that the
+            engines have not written again yet.
+        stolen_heads: Heads of open groups that were ordered to join others.
         entry_ttl_s: Time that the entry of a dead engine stays, in seconds.
         load_ratio: Load time relative to the profile. At 1.0, loads beyond
             the concurrent ones of the profile make each other slower.
@@ -67,6 +70,8 @@
         self.book = deployment.UpstreamRegistry()
         self.as_of = clock.now()
         self.is_store_down = False
+        self.are_entries_old = False
+        self.stolen_heads: list[str] = []
         self.entry_ttl_s = 0.0
         self._last_seen_at: dict[str, float] = {}
         self.load_ratio = LOAD_RATIO_AT_START
@@ -88,6 +93,8 @@
         if self.is_store_down:
             return
         self.as_of = now
+        if self.are_entries_old:
+            return
         for engine in self.by_name.values():
             if not engine.is_dead:
                 self._last_seen_at[engine.name] = now
@@ -168,6 +175,8 @@
     def _join(self, engine, order) -> _orders.OrderOutcome:
         if order.epoch < engine.newest_epoch:
             return _orders.OrderOutcome(_orders.OrderStatus.REFUSED)
+        if engine.state is State.OPEN:
+            self.stolen_heads.append(engine.name)
         model = self.profile.find_model(order.model)
         if engine.last_model == order.model:
             join_time_s = REJOIN_S
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -35,6 +35,7 @@
 
     def __init__(self, domains, step_s=STEP_S):
         self.step_s = step_s
+        self.settles_at = float('-inf')
         self.clock = clocks.ManualClock()
         engines = [
             fake_engines.Engine(f'{domain}-e{n}', domain, staged)
@@ -45,6 +46,11 @@
         self.engines = fake_engines.FakeEngines(profile, self.clock, engines)
         self.lease = _Lease()
         self.tasks: set[asyncio.Task] = set()
+        self.elect_controller(term=1)
+
+    def elect_controller(self, term) -> None:
+        """Replaces the controller by that of a new leader."""
+        self.lease.term = term
         self.control = _control.GroupController(
             fake_engines.SERVICE,
             self.engines.book,
@@ -53,8 +59,9 @@
             self.clock,
             self._spawn,
             lambda: self.engines.as_of,
+            lambda: self.settles_at,
         )
-        self.control.configure(profile)
+        self.control.configure(self.engines.profile)
 
     def _spawn(self, work) -> None:
         task = asyncio.ensure_future(work)
@@ -199,6 +206,35 @@
     assert harness.open_groups('big') == 1
 
 
+async def test_new_leader_steals_no_head_of_a_group_formed_in_an_outage():
+    """Entries are old for some time after the store has come back."""
+    harness = Harness({'d0': EMPTY})
+    await harness.run(8.0)
+    harness.start_traffic()
+    harness.engines.is_store_down = True
+    lost = harness.members('big')[0]
+    harness.engines.by_name[lost].is_dead = True
+    await harness.run(5.0)
+    head = next(
+        engine
+        for engine in harness.engines.by_name.values()
+        if engine.model == 'big'
+        and engine.state is deployment.GroupState.OPEN
+        and not engine.is_dead
+    )
+    group = head.group
+    harness.elect_controller(term=2)
+    harness.control.update_demand({'big': 1.0, 'small': 1.0})
+    harness.engines.is_store_down = False
+    harness.engines.are_entries_old = True
+    harness.settles_at = harness.clock.now() + 2.0
+    await harness.run(1.5)
+    harness.engines.are_entries_old = False
+    await harness.run(3.0)
+    assert harness.engines.stolen_heads == []
+    assert (head.group, head.state) == (group, deployment.GroupState.OPEN)
+
+
 async def test_spares_of_a_dead_domain_are_not_ordered():
     """Spares that died with their domain get no order to join.
 
