Read the quarantine together with the lease

It reads the lease row anyway; that call now reads all rows of the project's table, of which there are two, so the node has the quarantine with it and at no further cost.

--- a/plantainway/cluster/_leadership.py
+++ b/plantainway/cluster/_leadership.py
@@ -43,6 +43,9 @@
     Attributes:
         holder: Value of the lease row as last read or written.
         version: Version of the lease row as last read or written.
+        on_rows_read: Called with the rows of the project's table, by key,
+            whenever the lease row is read to find the leader. They come with
+            it at no further cost.
         newest_used_term: Function that returns the newest term whose traces
             are found outside the lease row, which may be older; set by the
             node.
@@ -59,6 +62,7 @@
         self.address = ''
         self.holder: Holder | None = None
         self.version = stores.ABSENT
+        self.on_rows_read = []
         self.newest_used_term = int
         self._newest_term = 0
         self._restores_seen = 0
@@ -85,10 +89,13 @@
         Raises:
             StoreUnavailableError: If the store does not answer.
         """
-        row = await self._table.read(LEASE_KEY)
+        rows = {row.key: row for row in await self._table.scan('')}
+        row = rows.get(LEASE_KEY)
         now = self._clock.now()
         self._record_restore(now)
         self._has_read_lease = True
+        for listener in self.on_rows_read:
+            listener(rows)
         if row is None:
             self.holder, self.version = None, stores.ABSENT
             self._observer.observe(stores.ABSENT, '', now)
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -199,6 +199,7 @@
         self._hub.quarantined_ms = dependencies.quarantine.remaining_ms
         self._hub.on_heartbeat.append(self._handle_heartbeat)
         self._quarantine.on_change.append(self._hub.send_soon)
+        self._leadership.on_rows_read.append(self._quarantine.handle_rows)
         self._leader_link.on_update.append(self._handle_leader_update)
         self._election.on_renewal_attempt.append(self._handle_renewal)
         self._election.on_acquired.append(
--- a/plantainway/edge/_quarantine.py
+++ b/plantainway/edge/_quarantine.py
@@ -51,6 +51,16 @@
         """Returns the parts whose survivals the nodes are to report."""
         return self._watched
 
+    def handle_rows(self, rows) -> None:
+        """Adds what the row holds, for a node that has just started.
+
+        Args:
+            rows: Rows of the project's table by key.
+        """
+        row = rows.get(ROW_KEY)
+        if row is not None and self._parts.merge(row.value['remaining_ms']):
+            logs.event('quarantine_read', parts=','.join(self._parts.ids()))
+
     def handle_heartbeat(self, beat) -> None:
         """Adds what another node has seen, and decides.
 
@@ -117,7 +127,7 @@
         self._stored_parts = frozenset(stored)
         self._term_read = term
         if self._parts.merge(stored):
-            logs.event('quarantine_read', parts=','.join(stored))
+            logs.event('quarantine_read', parts=','.join(self._parts.ids()))
             for listener in self.on_change:
                 listener()
 
--- a/plantainway/quarantine/_parts.py
+++ b/plantainway/quarantine/_parts.py
@@ -107,6 +107,10 @@
         ends = sorted(self._ends_at.items(), key=lambda item: -item[1])
         self._ends_at = dict(ends[:PARTS_MAX])
 
+    def ids(self) -> list[str]:
+        """Returns the parts that are quarantined or on probation."""
+        return sorted(self._ends_at)
+
     def remaining_ms(self) -> dict[str, int]:
         """Returns the parts as ``merge`` takes them, and drops ended ones."""
         if not self._ends_at:
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -163,6 +163,27 @@
         await callers.assert_refused(members, callers.arrivals())
 
 
+async def test_node_that_starts_reads_the_quarantine_with_the_lease(
+    node, store, callers
+):
+    """It need not wait for its link to the leader."""
+    node._dependencies.quarantine.add(CRASH_PART)
+    await conftest.until(
+        lambda: store.value('plantainway', 'quarantine'), 'stored'
+    )
+    await node.close()
+    calls = len(store.calls)
+    async with conftest.running(
+        conftest.settings('n2', store.address)
+    ) as later:
+        await conftest.until(later.is_ready, 'ready')
+        await conftest.until(
+            lambda: later.dump()['quarantined_parts'], 'quarantine read'
+        )
+        assert not later.dump()['leads'] and not later.dump()['term'] > 1
+        assert store.calls[calls:].count('get') == 3  # two tables, the lease
+
+
 async def test_new_leader_knows_which_part_crashes_engines(
     nodes, callers, store
 ):
