--- a/plantainway/quarantine/_evidence.py
+++ b/plantainway/quarantine/_evidence.py
@@ -91,3 +91,37 @@
             for part in parts
             if part in self._survived_at
         }
+
+
+class RunEvidence:
+    """Records what one run of a request shows about its prompt.
+
+    Engines crash when they begin to write an answer. A run whose engine has
+    gone on after the first event speaks for all parts of the prompt.
+
+    Args:
+        recorder: Evidence of this node.
+        parts: Shared parts of the prompt.
+    """
+
+    def __init__(self, recorder, parts):
+        self._recorder = recorder
+        self._parts = parts
+        self._events = 0
+
+    def record_events(self, count: int) -> None:
+        """Counts events that have arrived."""
+        before = self._events
+        self._events += count
+        if before <= 1 < self._events:
+            self._recorder.record_survival(self._parts)
+
+    def record_end(self) -> None:
+        """Records that the engine has ended the answer."""
+        if self._events <= 1:
+            self._recorder.record_survival(self._parts)
+
+    def record_cut_off(self, engine) -> None:
+        """Records that the run ended without an end of its answer."""
+        if self._events <= 1:
+            self._recorder.record_cut_off(engine, self._parts)
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -5,8 +5,10 @@
 import enum
 
 from plantainway import errors
+from plantainway import quarantine
 from plantainway.traffic import _events
 from plantainway.traffic import _queue
+from plantainway.traffic import _stall_timer
 from plantainway.traffic import _types
 
 MAX_SENDS = 4  # attempts per request, including refused ones
@@ -19,7 +21,6 @@
 PRIORITY_RESUMED_STREAM = 0  # its client already sees a pause
 # Lowest number of a new stream; engines accept 0 to 9, 0 goes first.
 PRIORITY_NEW_STREAM = 3
-STALL_RECHECK_S = 0.1  # while a stalled stream may not be moved
 ERROR_BODY_TIMEOUT_S = 1.0  # for the body of a failure, some hundred bytes
 EVENT_BYTES_MAX = 1 << 20  # an event holds a few tokens
 
@@ -65,81 +66,6 @@
     longest_pass_s: float = 0.0
 
 
-class _RunEvidence:
-    """Tells whether one run shows that its prompt crashes engines, or not.
-
-    Engines crash when they begin to write an answer. A run whose engine has
-    gone on after the first event speaks for all parts of the prompt.
-
-    Args:
-        recorder: Evidence of this node.
-        parts: Shared parts of the prompt.
-    """
-
-    def __init__(self, recorder, parts):
-        self._recorder = recorder
-        self._parts = parts
-        self._events = 0
-
-    def record_events(self, count: int) -> None:
-        """Counts events that have arrived."""
-        before = self._events
-        self._events += count
-        if before <= 1 < self._events:
-            self._recorder.record_survival(self._parts)
-
-    def record_end(self) -> None:
-        """Records that the engine has ended the answer."""
-        if self._events <= 1:
-            self._recorder.record_survival(self._parts)
-
-    def record_cut_off(self, engine) -> None:
-        """Records that the run ended without an end of its answer."""
-        if self._events <= 1:
-            self._recorder.record_cut_off(engine, self._parts)
-
-
-class _StallTimer:
-    """Ends an attempt whose stream is silent for too long.
-
-    Args:
-        timeout: Timeout around the attempt, which it expires.
-        may_abandon: Function that returns whether another attempt is allowed.
-            While it is not, the attempt goes on.
-    """
-
-    def __init__(self, timeout, may_abandon):
-        self._loop = asyncio.get_running_loop()
-        self._timeout = timeout
-        self._may_abandon = may_abandon
-        self._handle = None
-        self.timeout_s = 0.0
-
-    def arm(self, timeout_s: float) -> None:
-        """Starts the timer, replacing a running one.
-
-        Args:
-            timeout_s: Longest silence in seconds.
-        """
-        self.disarm()
-        self.timeout_s = timeout_s
-        self._handle = self._loop.call_later(timeout_s, self._on_expired)
-
-    def disarm(self) -> None:
-        """Stops the timer, if it runs."""
-        if self._handle is not None:
-            self._handle.cancel()
-            self._handle = None
-
-    def _on_expired(self) -> None:
-        if self._may_abandon():
-            self._timeout.reschedule(self._loop.time())
-        else:
-            self._handle = self._loop.call_later(
-                STALL_RECHECK_S, self._on_expired
-            )
-
-
 class StreamRunner:
     """Serves requests whose response is a stream of events.
 
@@ -356,11 +282,13 @@
             last_event_id=state.last_event_id,
         )
         stall_timer = None
-        evidence = _RunEvidence(deps.evidence, state.req.shared_parts)
+        evidence = quarantine.RunEvidence(
+            deps.evidence, state.req.shared_parts
+        )
         result = _AttemptResult.BROKEN
         try:
             async with asyncio.timeout(None) as attempt_timeout:
-                stall_timer = _StallTimer(
+                stall_timer = _stall_timer.StallTimer(
                     attempt_timeout,
                     lambda: self._may_abandon(state, response is not None),
                 )
