--- a/plantainway/quarantine/_tally.py
+++ b/plantainway/quarantine/_tally.py
@@ -118,7 +118,7 @@
             key=lambda part: (-len(self._suspects[part].depths), part),
         )[:PARTS_MAX]
 
-    def find_guilty(self, quarantine) -> str | None:
+    def find_part(self, quarantine) -> str | None:
         """Returns a part to quarantine, if the evidence suffices for one.
 
         Args:
@@ -165,7 +165,7 @@
 
 
 def _suffices(times, suspect, is_on_probation: bool, now: float) -> bool:
-    """Returns whether crashes since its last survival convict a part.
+    """Returns whether the crashes since a part last survived suffice.
 
     Args:
         times: Monotonic seconds of the crashes.
--- a/plantainway/stores/_table.py
+++ b/plantainway/stores/_table.py
@@ -80,8 +80,8 @@
     Versions only grow, also where the service is restored from a copy.
 
     Attributes:
-        restore_count: How often the service was restored from a copy, as far
-            as its answers have told.
+        restore_count: How often the service was restored from a copy since
+            its first answer, as far as its answers have told.
     """
 
     restore_count: int = 0
