Quarantine one part at a decision; test that survivals restart the count

A mutant without the check of quarantined parts made the decision loop for ever, so a defect there would have stopped a leader. One part is quarantined at a time now, ten times a second at most. The mutant of survivals turned no test red: survivals within 10 s were covered, those between crashes not.

--- a/plantainway/edge/_quarantine.py
+++ b/plantainway/edge/_quarantine.py
@@ -73,7 +73,7 @@
         self.decide()
 
     def decide(self) -> None:
-        """Quarantines the parts that the evidence of all nodes points to.
+        """Quarantines a part that the evidence of all nodes points to.
 
         Has no effect within ``DECISION_INTERVAL_S`` of the last time.
         """
@@ -88,7 +88,8 @@
         watched = self._tally.watched_parts()
         changed = bool(set(watched) - set(self._watched))
         self._watched = watched
-        while (part := self._tally.find_part(self._parts)) is not None:
+        part = self._tally.find_part(self._parts)
+        if part is not None:
             self._parts.add(part)
             changed = True
             logs.event('part_quarantined', 'WARNING', part=part)
--- a/tests/quarantine/test_tally.py
+++ b/tests/quarantine/test_tally.py
@@ -6,6 +6,8 @@
 from plantainway import quarantine
 from plantainway.quarantine import _tally
 
+FOUND_MAX = 9  # more than any row expects
+
 
 class Setup:
     """A tally whose clock, engines and reports a test sets."""
@@ -43,7 +45,10 @@
         """Returns all parts that the tally finds, in order."""
         self.clock.advance(_tally.SURVIVAL_ANSWER_S)
         found = []
-        while (part := self.tally.find_part(self.parts)) is not None:
+        for _ in range(FOUND_MAX):
+            part = self.tally.find_part(self.parts)
+            if part is None:
+                break
             self.parts.add(part)
             found.append(part)
         return found
@@ -103,6 +108,18 @@
     assert setup.found_parts() == expected
 
 
+@pytest.mark.parametrize('later, expected', [(4, []), (5, ['p'])])
+def test_crashes_before_a_survival_do_not_count(setup, later, expected):
+    """Only those in a row show that a part crashes engines."""
+    for _ in range(4):
+        setup.crash('p', after_s=0.4)
+    setup.clock.advance(0.1)
+    setup.tally.record_survivals({'p': 0})
+    for _ in range(later):
+        setup.crash('p', after_s=0.4)
+    assert setup.found_parts() == expected
+
+
 def test_answer_that_breaks_off_is_no_crash(setup):
     """An engine that is still there has only broken off its answer."""
     for _ in range(9):
