Log the limits that upstreams name; count first and repeated sends

Evidence: no log or metric told whether requests beyond a limit were first attempts or repeats, or what an upstream had named. The new lines and counters show both without a trial.

--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -52,6 +52,20 @@
         for (kind, end), count in sorted(outcomes.end_counts.items()):
             ended.add_metric([kind, end], count)
         yield ended
+        attempts = core.CounterMetricFamily(
+            'plantainway_attempts', 'Requests sent', labels=['repeated']
+        )
+        for repeated, count in sorted(outcomes.attempt_counts.items()):
+            attempts.add_metric([str(repeated).lower()], count)
+        yield attempts
+        limits = core.GaugeMetricFamily(
+            'plantainway_upstream_limit',
+            'Requests a second that an upstream in need takes of all nodes',
+            labels=['upstream'],
+        )
+        for upstream, per_second in state['upstream_limits'].items():
+            limits.add_metric([upstream], per_second)
+        yield limits
         yield core.CounterMetricFamily(
             'plantainway_relayed_bytes',
             'Bytes of updates sent to other nodes as leader',
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -20,6 +20,7 @@
 from plantainway import metrics
 from plantainway import platform
 from plantainway import quarantine
+from plantainway import ratelimits
 from plantainway import traffic
 
 # Added to the longest time that clients may cache a directory answer.
@@ -147,6 +148,7 @@
             outcomes=traffic.OutcomeRecorder(clock),
             quarantine=quarantine.Quarantine(clock),
             evidence=quarantine.EvidenceRecorder(clock),
+            limits=ratelimits.LimitBook(),
             on_failure=self._handle_upstream_failure,
         )
 
@@ -397,6 +399,7 @@
             'store_calls': self._store.call_count,
             'relayed_bytes': self._hub.sent_bytes,
             'groups': self._controllers.dump(),
+            'upstream_limits': self._dependencies.limits.in_force(),
             'quarantined_parts': self._dependencies.quarantine.remaining_ms(),
         }
 
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -1,6 +1,8 @@
 """HTTP client of the platform's runners: requests, orders and reports."""
 
 import asyncio
+import math
+import re
 import socket
 
 import aiohttp
@@ -9,6 +11,7 @@
 
 from plantainway import deployment
 from plantainway import errors
+from plantainway import logs
 from plantainway.platform import _connections
 from plantainway.platform import _messages
 from plantainway.platform import _names
@@ -29,6 +32,7 @@
     'User-Agent',
     'Content-Type',
 )
+_DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?', re.ASCII)
 # Headers of the client that are dropped; the node sets its own values.
 _REPLACED_HEADERS = frozenset(
     name.lower()
@@ -108,6 +112,7 @@
         self.ends_with_connection = not (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
+        self.rate_limit = _parse_rate_limit(headers, peer)
 
     async def read(self) -> bytes:
         """Returns the whole body; see the base class."""
@@ -290,6 +295,17 @@
         )
 
 
+def _parse_rate_limit(headers, peer: str) -> float | None:
+    """Returns the limit named in a response, NaN if it is unreadable."""
+    text = headers.get(_names.RATE_LIMIT)
+    if text is None:
+        return None
+    if not _DECIMAL.fullmatch(text):
+        logs.event('limit_unreadable', upstream=peer, value=text[:40])
+        return math.nan
+    return float(text)
+
+
 _ORDER_STATUSES = {
     200: supply.OrderStatus.HOLDS,
     202: supply.OrderStatus.BEGUN,
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -8,6 +8,7 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway import quarantine as quarantines
+from plantainway import ratelimits
 from plantainway.traffic import _budget
 from plantainway.traffic import _heads
 from plantainway.traffic import _health
@@ -41,21 +42,46 @@
     outcomes: _outcomes.OutcomeRecorder
     quarantine: quarantines.Quarantine
     evidence: quarantines.EvidenceRecorder
+    limits: ratelimits.LimitBook
     on_failure: collections.abc.Callable | None = None
     on_stream_request: collections.abc.Callable | None = None
 
     def forget(self, upstream: deployment.Upstream) -> None:
         """Drops the state of an upstream that no longer exists.
 
-        Its health, its stalls and whether it is closed or full are dropped.
+        Its health, its stalls, its limit and whether it is closed or full are
+        dropped.
         Its load is kept, since each request is subtracted when it ends.
 
         Args:
             upstream: The upstream.
         """
-        for tracker in (self.heads, self.health, self.stalls):
+        for tracker in (
+            self.heads,
+            self.health,
+            self.stalls,
+            self.limits,
+        ):
             tracker.forget(upstream.name)
 
+    async def send(self, attempt: _types.Attempt):
+        """Sends an attempt and records what the head of its response says.
+
+        Args:
+            attempt: The attempt.
+
+        Returns:
+            The response, whose body is still to be read.
+
+        Raises:
+            UpstreamError: If no response came.
+        """
+        self.outcomes.record_attempt(attempt.is_repeated)
+        response = await self.client.send(attempt)
+        if not response.misdirected:
+            self.limits.observe(attempt.upstream, response.rate_limit)
+        return response
+
     def record_failure(self, upstream, reason: str, eject_now=False) -> None:
         """Counts a failure of an upstream and calls ``on_failure``.
 
--- a/plantainway/traffic/_outcomes.py
+++ b/plantainway/traffic/_outcomes.py
@@ -9,7 +9,8 @@
 class OutcomeRecorder:
     """Logs decisions on requests, counts and logs how they ended.
 
-    ``end_counts`` is keyed by route kind and end. ``first_event_latency`` and
+    ``end_counts`` is keyed by route kind and end, ``attempt_counts`` by
+    whether the request was sent before. ``first_event_latency`` and
     ``request_latency`` measure from the arrival of a request to the first
     event of its stream and to its end.
 
@@ -20,6 +21,7 @@
     def __init__(self, clock):
         self._clock = clock
         self.end_counts: collections.Counter = collections.Counter()
+        self.attempt_counts: collections.Counter = collections.Counter()
         self.first_event_latency = metrics.LatencyHistogram()
         self.request_latency = metrics.LatencyHistogram()
 
@@ -39,6 +41,14 @@
             **inputs,
         )
 
+    def record_attempt(self, is_repeated: bool) -> None:
+        """Counts one sending of a request to an upstream.
+
+        Args:
+            is_repeated: Whether the request was sent before.
+        """
+        self.attempt_counts[is_repeated] += 1
+
     def record_first_event(self, req) -> None:
         """Records the latency of the first event of a stream.
 
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -90,7 +90,7 @@
                 break
             is_last = runs + 1 >= route.max_attempts
             result = await self._run_attempt(
-                req, route, upstream, account, deadline, is_last
+                req, route, upstream, account, deadline, is_last, sends > 0
             )
             tried_names.add(upstream.name)
             if result.response is not None and not result.is_server_error:
@@ -125,7 +125,7 @@
         )
 
     async def _run_attempt(
-        self, req, route, upstream, account, deadline, is_last
+        self, req, route, upstream, account, deadline, is_last, is_repeated
     ):
         deps = self._deps
         is_unsafe = route.kind is deployment.RouteKind.UNSAFE
@@ -136,6 +136,7 @@
             deadline,
             priority=route.priority,
             use_new_connection=is_unsafe,
+            is_repeated=is_repeated,
         )
         deps.loads.increment(upstream.name)
         upstream_response = None
@@ -143,7 +144,7 @@
             async with asyncio.timeout(
                 self._attempt_timeout_s(route, deadline, is_unsafe, is_last)
             ):
-                upstream_response = await deps.client.send(attempt)
+                upstream_response = await deps.send(attempt)
                 if upstream_response.not_run:
                     await upstream_response.discard()
                 else:
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -280,6 +280,7 @@
                 else min(PRIORITY_NEW_STREAM + state.priority, 9)
             ),
             last_event_id=state.last_event_id,
+            is_repeated=state.sends > 1,
         )
         stall_timer = None
         evidence = quarantine.RunEvidence(
@@ -293,7 +294,7 @@
                     lambda: self._may_abandon(state, response is not None),
                 )
                 stall_timer.arm(self._first_timeout_s(state, head))
-                response = await deps.client.send(attempt)
+                response = await deps.send(attempt)
                 if response.status != 200:
                     stall_timer.disarm()
                     return await self._handle_error_response(
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -66,7 +66,8 @@
 
     ``deadline`` is in monotonic seconds; ``priority`` is sent to the engine,
     which runs lower ones first. ``use_new_connection`` avoids pooled
-    connections, which the upstream may have closed already.
+    connections, which the upstream may have closed already. ``is_repeated``
+    tells whether the request was sent to an upstream before.
     """
 
     request: Request
@@ -76,6 +77,7 @@
     priority: int
     last_event_id: int | None = None
     use_new_connection: bool = False
+    is_repeated: bool = False
 
 
 class BaseUpstreamResponse(abc.ABC):
@@ -91,6 +93,8 @@
             failed, or empty.
         ends_with_connection: Whether the body has neither a length nor
             chunks, so that only the end of the connection ends it.
+        rate_limit: Requests a second that the upstream takes from all nodes
+            together, ``None`` if it names no limit, NaN if that is unreadable.
     """
 
     status: int
@@ -100,6 +104,7 @@
     signed: bool
     failed_upstream: str = ''
     ends_with_connection: bool = False
+    rate_limit: float | None = None
 
     @abc.abstractmethod
     async def read(self) -> bytes:
