--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -23,7 +23,8 @@
 
     ``cancelled`` is set once the client closes the connection of a request
     that is left unanswered or whose answer does not end; ``sent_bytes``
-    counts the bytes of such an answer.
+    counts the bytes of such an answer. ``at`` is in seconds of the event
+    loop.
     """
 
     method: str
@@ -32,6 +33,7 @@
     body: bytes
     cancelled: bool = False
     sent_bytes: int = 0
+    at: float = 0.0
 
 
 @dataclasses.dataclass
@@ -82,11 +84,14 @@
     part of an event and a reset (``torn``), or with an open connection that
     stays idle (``silent``). ``broken`` goes before both. The runner crashes
     when it is about to send the first event of a request whose prompt has
-    ``crash_part``, and starts again after ``RESTART_S``.
+    ``crash_part``, and starts again after ``RESTART_S``. All answers but
+    those to requests for another runner name ``rate_limit``, unless it is
+    empty.
     """
 
     broken: BrokenAnswer | None = None
     crash_part: str = ''
+    rate_limit: str = ''
     answer: str = 'whole'
     events: int = 5
     stream_end: str = 'whole'
@@ -121,6 +126,8 @@
         self.newest_epoch = 0
         self.body = b'the answer of ' + name.encode()
         self.crashes = 0
+        self.reports = 0
+        self.health_checks = 0
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -213,8 +220,13 @@
         length = int(headers.get('content-length', 0))
         body = await reader.readexactly(length)
         if target == '/plantainway/report':
+            self.reports += 1
             self._send_json(writer, 200, self._report())
             return
+        if target == '/healthz':
+            self.health_checks += 1
+            _send(writer, 200, self._named([('Instance-Id', self.name)]), b'')
+            return
         expected = headers.get('expect-instance', self.name)
         if expected != self.name:
             _send(writer, 421, [('Instance-Id', self.name)], b'')
@@ -224,6 +236,7 @@
             self._send_json(writer, status, {})
             return
         seen = ReceivedRequest(method, target, headers, body)
+        seen.at = asyncio.get_running_loop().time()
         self.seen.append(seen)
         await self._answer(reader, writer, seen)
 
@@ -280,7 +293,12 @@
 
     def _send_json(self, writer, status, value) -> None:
         body = json.dumps(value).encode()
-        _send(writer, status, [('Content-Type', 'application/json')], body)
+        headers = self._named([('Content-Type', 'application/json')])
+        _send(writer, status, headers, body)
+
+    def _named(self, headers) -> list:
+        limit = self.faults.rate_limit
+        return [*headers, ('Server-Limit', limit)] if limit else headers
 
     async def _answer(self, reader, writer, seen) -> None:
         request_id = seen.headers.get('request-id', '')
@@ -288,13 +306,14 @@
             ('Request-Id', request_id),
             ('Server-Stamp', f'stamp-{self.name}'),
         ]
+        headers = self._named(headers)
         answer_mode = self.faults.answer
         broken = self.faults.broken
         if broken is not None and broken.remaining > 0:
             broken.remaining -= 1
             await self._send_broken(writer, seen, headers, broken)
         elif answer_mode == 'not_run':
-            _send(writer, 503, [('Not-Executed', '1')], b'')
+            _send(writer, 503, self._named([('Not-Executed', '1')]), b'')
         elif answer_mode == 'error':
             _send(writer, 500, headers, b'failed')
         elif answer_mode == 'error_truncated':
