--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -653,6 +653,77 @@
         'if member is not None:',
         'tests/supply/test_warming.py',
     ),
+    Mutant(
+        'later answer holds, not the one that arrives later',
+        'plantainway/ratelimits/_book.py',
+        'if known is None or entry.observed_at > known.observed_at:',
+        'if True:',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'observations count as sent as early as they can have been',
+        'plantainway/ratelimits/_book.py',
+        'observed_at = now - delay_s - item.age_ms / 1000',
+        'observed_at = now - item.age_ms / 1000',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'old observations are not taken',
+        'plantainway/ratelimits/_book.py',
+        'or now - entry.observed_at > OBSERVATION_TTL_S',
+        'or False',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'limits belong to an incarnation',
+        'plantainway/ratelimits/_book.py',
+        'if entry is None or entry.started_ms != upstream.started_ms:',
+        'if entry is None:',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'shares of silent nodes are held back',
+        'plantainway/ratelimits/_issuer.py',
+        '            min(shares.get(upstream, part), part)\n',
+        '            0\n',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'shares unknown to a new leader are held back',
+        'plantainway/ratelimits/_issuer.py',
+        'len(self._unaccounted) * part,',
+        '0,',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'shares end in time',
+        'plantainway/ratelimits/_shares.py',
+        'if self._is_in_touch or self._clock.now() >= self._valid_until:',
+        'if self._is_in_touch:',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'requests sent before count against a share',
+        'plantainway/ratelimits/_shares.py',
+        'if self._sent_count(upstream) >= share:',
+        'if not share:',
+        'tests/ratelimits',
+    ),
+    Mutant(
+        'limited heads need a permit',
+        'plantainway/traffic/_heads.py',
+        'unlimited, _limited = self._split(service, model, excluded_heads)',
+        'unlimited = self.candidates(service, model, excluded_heads)',
+        'tests/traffic/test_heads.py',
+    ),
+    Mutant(
+        'answers of another runner at the address name no limit',
+        'plantainway/platform/_upstreams.py',
+        '        if resp.status == STATUS_MISDIRECTED:\n            return\n'
+        '        per_second',
+        '        per_second',
+        'tests/platform/test_rate_limits.py',
+    ),
 )
 
 
--- a/plantainway/clock.py
+++ b/plantainway/clock.py
@@ -20,6 +20,14 @@
         return time.monotonic()
 
 
+class SuspendAwareClock(BaseClock):
+    """A monotonic clock that goes on while the VM is suspended."""
+
+    def now(self) -> float:
+        """Returns the seconds since the VM was started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(BaseClock):
     """A clock that moves only when ``advance`` is called.
 
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -13,6 +13,7 @@
 from plantainway.cluster import _messages
 from plantainway import errors
 from plantainway import logs
+from plantainway import ratelimits
 from plantainway import stores
 
 # Both directions: older load figures mislead the choice of a group's head.
@@ -21,6 +22,7 @@
 ENCODED_REUSE_S = 0.1
 NODE_TIMEOUT_S = 1.2  # a node is live until its next heartbeat is this late
 LINK_TIMEOUT_S = 1.0  # two updates missed
+PERMIT_TIMEOUT_S = 0.3  # a request waits for an answer at most this long
 UPDATE_LATE_S = 0.5  # time on the way that is logged
 SUSPECT_VOTES_MIN = 2
 # A node that sent a heartbeat this recently does not seek another leader.
@@ -38,11 +40,16 @@
 
     ``sent_revisions`` holds the table revisions sent last, by table,
     ``versions`` the table versions that the node holds or was sent,
-    ``beat_number`` and ``beat_at`` number and time of the last heartbeat.
+    ``beat_number`` and ``beat_at`` number and time of the last heartbeat,
+    ``sent_limits`` the revision of the limits. ``messages_sent_at`` is keyed
+    by number; its first entry is the time at which the link was made.
     """
 
-    def __init__(self, conn):
+    def __init__(self, conn, now: float):
         self.conn = conn
+        self.sent_limits = -1
+        self.message_number = 0
+        self.messages_sent_at = {0: now}
         self.sent_revisions: dict[str, int] = {}
         self.versions: dict[str, int] = {}
         self.sent_nodes: list[_messages.NodeInfo] | None = None
@@ -50,14 +57,42 @@
         self.beat_number = 0
         self.beat_at = 0.0
 
-    def ack(self, now: float) -> _messages.Ack:
-        """Returns the acknowledgement to send with the next update.
+    def next_ack(self, now: float) -> _messages.Ack:
+        """Returns the acknowledgement to send with the next message.
 
         Args:
             now: Monotonic seconds.
         """
         held_ms = int((now - self.beat_at) * 1000)
-        return _messages.Ack(self.beat_number, held_ms)
+        self.message_number += 1
+        self.messages_sent_at[self.message_number] = now
+        return _messages.Ack(self.beat_number, held_ms, self.message_number)
+
+    def delay_s(self, beat, now: float) -> float:
+        """Returns the longest time that a heartbeat may have been on its way.
+
+        The node sent it ``message_age_ms`` after it had received a message
+        whose sending time is known here.
+
+        Args:
+            beat: The heartbeat.
+            now: Monotonic seconds.
+
+        Raises:
+            WireError: If no such message was sent over this link.
+        """
+        sent_at = self.messages_sent_at.get(beat.message_number)
+        if sent_at is None:
+            raise errors.WireError(
+                f'unknown message {beat.message_number}',
+                'heartbeat',
+                beat.info.node,
+            )
+        for number in list(self.messages_sent_at):
+            if number >= beat.message_number:
+                break
+            del self.messages_sent_at[number]
+        return max(now - sent_at - beat.message_age_ms / 1000, 0.0)
 
 
 class _EncodedUpdates:
@@ -87,7 +122,8 @@
         clock: Source of monotonic time.
 
     Attributes:
-        on_heartbeat: Called with each heartbeat received.
+        on_heartbeat: Called with each heartbeat received and the longest
+            time that it may have been on its way.
         disbanded_epochs: Function that returns the epochs of the disbanded
             groups by head; set by the node.
         opened_heads: Function that returns the heads that serve although
@@ -96,6 +132,13 @@
             survivals the nodes are to report; set by the node.
         quarantined_ms: Function that returns the quarantined parts; set by
             the node.
+        limits: Limits of upstreams, which are sent to the nodes; set by the
+            node.
+        absent_nodes: Function that returns the nodes that are not in touch
+            but may be using shares of limits; set by the node.
+        issue_permit: Function that answers a node's request for a permit;
+            set by the node.
+        on_link_ended: Called with the name of a node whose link has ended.
         sent_bytes: Bytes of all updates sent so far.
     """
 
@@ -117,6 +160,10 @@
         self.opened_heads = list
         self.watched_parts = list
         self.quarantined_ms = dict
+        self.limits = ratelimits.LimitBook(clock)
+        self.absent_nodes = list
+        self.issue_permit = None
+        self.on_link_ended = []
         self._links_at_renewal = 0
         self.sent_bytes = 0
         for table in tables:
@@ -270,14 +317,18 @@
         if not self._leadership.is_leader():
             await conn.close(CLOSE_NOT_LEADER)
             return
-        link = _NodeLink(conn)
+        link = _NodeLink(conn, self._clock.now())
         name = ''
         sender = None
         try:
             async for data in conn:
                 beat = _messages.decode(data, str(conn.remote_address))
+                if isinstance(beat, _messages.PermitRequest):
+                    await self._reply_to(beat, name, link)
+                    continue
                 name = beat.info.node
                 now = self._clock.now()
+                delay_s = link.delay_s(beat, now)
                 self._links[name] = link
                 link.beat_number, link.beat_at = beat.number, now
                 if sender is None:
@@ -287,7 +338,7 @@
                 self._add_work(beat)
                 self._add_work(self._own_heartbeat())
                 for listener in self.on_heartbeat:
-                    listener(beat)
+                    listener(beat, delay_s)
         except (websockets.ConnectionClosed, errors.WireError) as exc:
             logs.event('link_ended', 'INFO', peer=name, reason=repr(exc)[:100])
         finally:
@@ -299,6 +350,20 @@
                 # learn of it in their next update: links often end many at
                 # a time, and each change of the list goes to all nodes.
                 self._heartbeats.pop(name, None)
+                for listener in self.on_link_ended:
+                    listener(name)
+
+    async def _reply_to(self, req, node: str, link: _NodeLink) -> None:
+        if not node or not self._leadership.is_leader():
+            return  # the node asks again after its timeout
+        permit = self.issue_permit(node, req.upstreams, req.wait_ms / 1000)
+        reply = _messages.PermitReply(
+            req.number, permit.upstream, int(permit.wait_s * 1000)
+        )
+        ack = link.next_ack(self._clock.now())
+        await link.conn.send(
+            _messages.add_ack(ack, _messages.encode_for_node(reply))
+        )
 
     async def _send_updates(self, link: _NodeLink) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
@@ -335,7 +400,13 @@
             )
             for item in self._tables
         )
-        key = (includes_nodes, known, self._leadership.version)
+        includes_limits = self.limits.revision != link.sent_limits
+        key = (
+            includes_nodes,
+            includes_limits,
+            known,
+            self._leadership.version,
+        )
         if key not in shared.encoded:
             update = _messages.LeaderUpdate(
                 leader=self._node,
@@ -350,13 +421,16 @@
                 ],
                 watched_parts=self.watched_parts(),
                 quarantined_ms=self.quarantined_ms(),
+                limits=self.limits.observations() if includes_limits else None,
+                absent=self.absent_nodes(),
             )
-            shared.encoded[key] = _messages.encode_update(update)
+            shared.encoded[key] = _messages.encode_for_node(update)
         link.sent_nodes = shared.nodes
+        link.sent_limits = self.limits.revision
         for item in self._tables:
             link.sent_revisions[item.name] = item.revision
             link.versions[item.name] = item.version
-        return _messages.add_ack(link.ack(now), shared.encoded[key])
+        return _messages.add_ack(link.next_ack(now), shared.encoded[key])
 
     def _table_update(self, table, link: _NodeLink) -> _messages.TableUpdate:
         known = link.sent_revisions.get(table.name, -1)
@@ -402,11 +476,14 @@
         last_update_at: Monotonic seconds at which the last update arrived.
         last_update: The last update from a leader.
         nodes: Live nodes as the leader last named them.
+        absent_nodes: Nodes that may be using shares of limits without being
+            in touch, as the leader last named them.
         sent_loads: Requests in progress by upstream in the last heartbeat.
         is_receiving: Whether a link stands and has brought an update.
         update_delay_s: Longest time that the last update may have spent on
             the way, together with the heartbeat that it acknowledges.
         on_update: Called with each update after its rows are applied.
+        limits: Limits of upstreams that this node knows; set by the node.
     """
 
     def __init__(self, tables, own_heartbeat, clock):
@@ -417,11 +494,18 @@
         self.last_update_at = float('-inf')
         self.last_update: _messages.LeaderUpdate | None = None
         self.nodes: list[_messages.NodeInfo] = []
+        self.absent_nodes: list[str] = []
         self.sent_loads: dict[str, int] = {}
         self._beats_sent_at: dict[int, float] = {}
         self.is_receiving = False
         self.update_delay_s = 0.0
         self.on_update = []
+        self.limits = ratelimits.LimitBook(clock)
+        self._conn = None
+        self._message_number = 0
+        self._message_at = 0.0
+        self._permit_numbers = itertools.count(1)
+        self._permit_replies: dict[int, asyncio.Future] = {}
 
     def send_soon(self) -> None:
         """Sends a heartbeat now instead of at the next interval."""
@@ -453,12 +537,22 @@
             return
         logs.event('leader_linked', peer=address)
         self._beats_sent_at = {}
+        self._message_number, self._message_at = 0, self._clock.now()
+        self._conn = conn
         sender = asyncio.ensure_future(self._send_heartbeats(conn))
         try:
             while True:
                 async with asyncio.timeout(LINK_TIMEOUT_S):
                     data = await conn.recv()
-                self._apply_update(*_messages.decode_update(data, address))
+                ack, message = _messages.decode_from_leader(data, address)
+                self._message_number = max(
+                    ack.message_number, self._message_number
+                )
+                self._message_at = self._clock.now()
+                if isinstance(message, _messages.PermitReply):
+                    self._handle_reply(message)
+                    continue
+                self._apply_update(ack, message)
                 self.is_receiving = True
         except (
             TimeoutError,
@@ -469,19 +563,73 @@
             logs.event('leader_lost', peer=address, reason=repr(exc)[:100])
         finally:
             self.is_receiving = False
+            self._conn = None
             sender.cancel()
             conn.transport.abort()
+            for fut in self._permit_replies.values():
+                fut.cancel()
+
+    async def request_permit(
+        self, upstreams, wait_s: float
+    ) -> ratelimits.Permit:
+        """Asks the leader where a request may be sent.
+
+        Args:
+            upstreams: Names of limited upstreams, the best first.
+            wait_s: Longest time for which the request can wait.
+
+        Raises:
+            LeaderUnavailableError: If there is no reply in time.
+        """
+        conn = self._conn
+        if conn is None:
+            raise errors.LeaderUnavailableError('no link', 'permit')
+        number = next(self._permit_numbers)
+        fut = asyncio.get_running_loop().create_future()
+        self._permit_replies[number] = fut
+        try:
+            async with asyncio.timeout(PERMIT_TIMEOUT_S):
+                await conn.send(
+                    _messages.encode(
+                        _messages.PermitRequest(
+                            number, list(upstreams), int(wait_s * 1000)
+                        )
+                    )
+                )
+                await asyncio.wait((fut,))
+        except (TimeoutError, websockets.ConnectionClosed) as exc:
+            raise errors.LeaderUnavailableError(repr(exc), 'permit')
+        finally:
+            del self._permit_replies[number]
+        if fut.cancelled():
+            raise errors.LeaderUnavailableError('link ended', 'permit')
+        return fut.result()
+
+    def _handle_reply(self, reply) -> None:
+        fut = self._permit_replies.get(reply.number)
+        if fut is not None and not fut.done():
+            fut.set_result(
+                ratelimits.Permit(reply.upstream, reply.wait_ms / 1000)
+            )
 
     async def _send_heartbeats(self, conn) -> None:
         with contextlib.suppress(websockets.ConnectionClosed):
             for number in itertools.count(1):
+                new_limits = self.limits.take_unreported()
+                if number == 1:
+                    new_limits = self.limits.observations()
                 beat = dataclasses.replace(
                     self._own_heartbeat(),
+                    limits=new_limits,
                     number=number,
                     versions={
                         name: table.version
                         for name, table in self._tables.items()
                     },
+                    message_number=self._message_number,
+                    message_age_ms=int(
+                        (self._clock.now() - self._message_at) * 1000
+                    ),
                 )
                 self._beats_sent_at[number] = self._clock.now()
                 self.sent_loads = beat.loads
@@ -534,6 +682,7 @@
         self.last_update = update
         if update.nodes is not None:
             self.nodes = update.nodes
+        self.absent_nodes = update.absent
         for table_update in update.tables:
             table = self._tables.get(table_update.table)
             if table is None:
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -9,12 +9,13 @@
 
 from plantainway import errors
 from plantainway import quarantine
+from plantainway import ratelimits
 
 MESSAGE_BYTES_MAX = 4 << 20  # a full configuration and all entries fit
-# Header of an update: number of the acknowledged heartbeat, milliseconds
-# since its receipt.
-_ACK = struct.Struct('>QI')
-_PLAIN, _COMPRESSED = b'\0', b'\1'  # first byte of an encoded update
+# Header of a message to a node: number of the acknowledged heartbeat,
+# milliseconds since its receipt, number of the message on the link.
+_ACK = struct.Struct('>QIQ')
+_PLAIN, _COMPRESSED = b'\0', b'\1'  # first byte of an encoded message
 COMPRESSED_BYTES_MIN = 512  # shorter updates fit one packet as they are
 COMPRESSION_LEVEL = 1  # higher ones save a few percent on JSON rows
 
@@ -47,7 +48,12 @@
     1. ``versions`` are those of the tables that the node holds, by table.
     ``crash_reports`` are recent, ``survival_ages_ms`` answer for the parts of
     prompts that the leader watches, ``quarantined_ms`` is the time to the end
-    of the quarantine of each part that the node refuses.
+    of the quarantine of each part that the node refuses. ``limits`` are the
+    limits of upstreams that the node has observed since its last heartbeat,
+    all that it knows in the first one on a link. ``shares`` are what it may
+    send without a leader, by limited upstream. ``message_number`` is that of
+    the last message of the leader on this link, 0 before the first, and
+    ``message_age_ms`` the time since its receipt, or since the link was made.
     """
 
     info: NodeInfo
@@ -62,17 +68,48 @@
     )
     survival_ages_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     quarantined_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    limits: list[ratelimits.LimitObservation] = dataclasses.field(
+        default_factory=list
+    )
+    shares: dict[str, int] = dataclasses.field(default_factory=dict)
+    message_number: int = 0
+    message_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ack:
-    """Last heartbeat that the leader received before it sent an update.
+    """Last heartbeat that the leader received before it sent a message.
 
-    ``held_ms`` is the time between its receipt and the sending of the update.
+    ``held_ms`` is the time between its receipt and the sending of the
+    message. ``message_number`` counts the messages on the link, from 1.
     """
 
     number: int
     held_ms: int
+    message_number: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """A node asks where it may send one request to a limited upstream.
+
+    ``upstreams`` are named in the order in which the node prefers them,
+    ``wait_ms`` is how long the request can wait. ``number`` is returned with
+    the reply.
+    """
+
+    number: int
+    upstreams: list[str]
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Reply to a ``PermitRequest``; see ``ratelimits.Permit``."""
+
+    number: int
+    upstream: str
+    wait_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +159,10 @@
     is the version of the lease row that the leader wrote last. ``nodes`` is
     ``None`` if they are unchanged since the last update to this node.
     ``watched_parts`` are those of prompts whose survivals the nodes are to
-    report, ``quarantined_ms`` is as in the heartbeat.
+    report, ``quarantined_ms`` is as in the heartbeat. ``limits`` are the
+    known limits of upstreams, ``None`` if they are unchanged since the last
+    update to this node; ``absent`` names the nodes that may be using shares
+    of them without being in touch.
     """
 
     leader: str
@@ -135,20 +175,24 @@
     tables: list[TableUpdate]
     watched_parts: list[str] = dataclasses.field(default_factory=list)
     quarantined_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    limits: list[ratelimits.LimitObservation] | None = None
+    absent: list[str] = dataclasses.field(default_factory=list)
 
 
-_ADAPTERS = {
-    'beat': pydantic.TypeAdapter(Heartbeat),
-    'digest': pydantic.TypeAdapter(LeaderUpdate),
+_TAGS = {
+    Heartbeat: 'beat',
+    LeaderUpdate: 'digest',
+    PermitRequest: 'permit_request',
+    PermitReply: 'permit_reply',
 }
-_TAGS = {Heartbeat: 'beat', LeaderUpdate: 'digest'}
+_ADAPTERS = {tag: pydantic.TypeAdapter(kind) for kind, tag in _TAGS.items()}
 
 
 def encode(message) -> bytes:
     """Encodes a message.
 
     Args:
-        message: A heartbeat or an update of the leader.
+        message: Any of the messages of this module.
     """
     return cbor2.dumps([_TAGS[type(message)], dataclasses.asdict(message)])
 
@@ -161,7 +205,7 @@
         peer: Address of the sender, for error messages.
 
     Returns:
-        A heartbeat or an update of the leader.
+        One of the messages of this module.
 
     Raises:
         WireError: If the bytes are not a valid message.
@@ -175,47 +219,49 @@
         raise errors.WireError(repr(exc)[:200], 'decode', peer)
 
 
-def encode_update(update: LeaderUpdate) -> bytes:
-    """Encodes an update, compressed unless it is short.
+def encode_for_node(message) -> bytes:
+    """Encodes a message to a node, compressed unless it is short.
 
     Args:
-        update: The update.
+        message: An update of the leader or a reply.
     """
-    data = encode(update)
+    data = encode(message)
     if len(data) < COMPRESSED_BYTES_MIN:
         return _PLAIN + data
     return _COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def add_ack(ack: Ack, encoded: bytes) -> bytes:
-    """Adds the acknowledgement for one node to an update.
+    """Adds the acknowledgement for one node to a message.
 
     Args:
         ack: The acknowledgement.
-        encoded: Encoded update, which several nodes may share.
+        encoded: Encoded message, which several nodes may share.
     """
-    return _ACK.pack(ack.number, ack.held_ms) + encoded
+    return _ACK.pack(ack.number, ack.held_ms, ack.message_number) + encoded
 
 
-def decode_update(data: bytes, peer: str) -> tuple[Ack, LeaderUpdate]:
-    """Decodes an update with its acknowledgement.
+def decode_from_leader(
+    data: bytes, peer: str
+) -> tuple[Ack, LeaderUpdate | PermitReply]:
+    """Decodes a message of the leader with its acknowledgement.
 
     Args:
         data: Bytes received.
         peer: Address of the leader, for error messages.
 
     Raises:
-        WireError: If the bytes are not a valid update.
+        WireError: If the bytes are no valid message of a leader.
     """
     if len(data) <= _ACK.size:
         raise errors.WireError('update without a header', 'decode', peer)
     body = data[_ACK.size + 1 :]
     if data[_ACK.size : _ACK.size + 1] == _COMPRESSED:
         body = _decompress(body, peer)
-    update = decode(body, peer)
-    if not isinstance(update, LeaderUpdate):
-        raise errors.WireError('not an update', 'decode', peer)
-    return Ack(*_ACK.unpack_from(data)), update
+    message = decode(body, peer)
+    if not isinstance(message, (LeaderUpdate, PermitReply)):
+        raise errors.WireError('not from a leader', 'decode', peer)
+    return Ack(*_ACK.unpack_from(data)), message
 
 
 def _decompress(data: bytes, peer: str) -> bytes:
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -14,14 +14,19 @@
         view: Decoded tables of the platform.
         dependencies: Objects that the request handlers share.
         node_info: Function that returns this node's entry for the directory.
+        shares: Function that returns what this node may send to limited
+            upstreams without a leader.
         clock: Source of monotonic time.
         window_s: Window of the retry budget in seconds.
     """
 
-    def __init__(self, view, dependencies, node_info, clock, window_s: float):
+    def __init__(
+        self, view, dependencies, node_info, shares, clock, window_s: float
+    ):
         self._view = view
         self._dependencies = dependencies
         self._node_info = node_info
+        self._shares = shares
         self._clock = clock
         self._window_s = window_s
         self._suspected_until: dict[str, float] = {}
@@ -48,6 +53,7 @@
                 self._watched_parts
             ),
             quarantined_ms=self._dependencies.quarantine.remaining_ms(),
+            shares=self._shares(),
         )
 
     def report_suspect(self, head: str) -> None:
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -14,8 +14,10 @@
 from plantainway.edge import _gossip
 from plantainway.edge import _lateness
 from plantainway.edge import _metrics
+from plantainway.edge import _permits
 from plantainway.edge import _quarantine
 from plantainway.edge import _view
+from plantainway import errors
 from plantainway import logs
 from plantainway import metrics
 from plantainway import platform
@@ -71,6 +73,7 @@
         self._election.address = self.addresses['peer']
         self._spawn(self._election.run())
         self._spawn(self._loop_monitor.run())
+        self._spawn(self._limit_task.run())
         logs.event(
             'node_started',
             node=self.cfg.node,
@@ -89,11 +92,15 @@
             self._pooled_session, self._unpooled_session, clock
         )
         self._view = _view.PlatformView(clock)
+        self._limits = ratelimits.LimitBook(clocks.SuspendAwareClock())
+        self._shares = ratelimits.KeptShares(cfg.node, self._limits, clock)
+        self._create_cluster_components()
         self._dependencies = self._create_dependencies()
         self._leader_sync = _gossip.LeaderSync(
             self._view,
             self._dependencies,
             self._node_info,
+            self._shares.shares,
             clock,
             cfg.bounds.retry_window_s,
         )
@@ -101,7 +108,6 @@
             self._leader_sync.record_requested_work
         )
         self._gateway = traffic.Gateway(self._dependencies, self._rng)
-        self._create_cluster_components()
         self._controllers = _fleet.ControllerSet(
             self._view, self._client, self._leadership, clock, self._spawn
         )
@@ -129,6 +135,15 @@
         health = traffic.HealthTracker(clock)
         stalls = traffic.StallDetector(clock)
         loads = traffic.LoadTracker()
+        permits = _permits.PermitSource(
+            self.cfg.node,
+            self._limits,
+            self._issuer,
+            self._shares,
+            self._leadership,
+            self._leader_link,
+        )
+        rates = traffic.RateGate(permits, loads, clock)
         return traffic.Dependencies(
             clock=clock,
             upstreams=book,
@@ -137,7 +152,7 @@
             loads=loads,
             stalls=stalls,
             heads=traffic.HeadPool(
-                book, health, stalls, loads, clock, self._rng
+                book, health, stalls, loads, rates, clock, self._rng
             ),
             budget=traffic.RetryBudget(
                 clock,
@@ -148,7 +163,7 @@
             outcomes=traffic.OutcomeRecorder(clock),
             quarantine=quarantine.Quarantine(clock),
             evidence=quarantine.EvidenceRecorder(clock),
-            limits=ratelimits.LimitBook(),
+            rates=rates,
             on_failure=self._handle_upstream_failure,
         )
 
@@ -165,11 +180,22 @@
             cfg.node,
             self._leadership,
             view.tables,
-            self._leader_sync.heartbeat,
+            self._heartbeat,
             clock,
         )
         self._leader_link = cluster.HubClient(
-            view.tables, self._leader_sync.heartbeat, clock
+            view.tables, self._heartbeat, clock
+        )
+        self._issuer = ratelimits.PermitIssuer(self._limits, clock)
+        self._limit_task = _permits.LimitTask(
+            self._limits,
+            self._issuer,
+            self._shares,
+            self._leadership,
+            self._leader_link,
+            self._ask_upstream,
+            self._spawn,
+            clock,
         )
         self._election = _election.ElectionTask(
             self._leadership,
@@ -199,7 +225,16 @@
         self._hub.opened_heads = self._opened_heads
         self._hub.watched_parts = self._quarantine.watched_parts
         self._hub.quarantined_ms = dependencies.quarantine.remaining_ms
+        self._hub.limits = self._leader_link.limits = self._limits
+        self._hub.absent_nodes = self._issuer.absent_nodes
+        self._hub.issue_permit = self._issuer.issue
+        self._hub.on_link_ended.append(self._issuer.record_lost)
+        self._hub.on_heartbeat.append(self._limit_task.handle_heartbeat)
         self._hub.on_heartbeat.append(self._handle_heartbeat)
+        self._client.on_answer.append(self._limits.observe)
+        self._limits.on_named.append(self._leader_link.send_soon)
+        self._election.on_acquired.append(self._limit_task.handle_acquired)
+        self._leader_link.on_update.append(self._limit_task.handle_update)
         self._quarantine.on_change.append(self._hub.send_soon)
         self._leadership.on_rows_read.append(self._quarantine.handle_rows)
         self._leader_link.on_update.append(self._handle_leader_update)
@@ -247,6 +282,24 @@
             item.version for item in self._view.tables if item.name == table
         )
 
+    def _heartbeat(self) -> cluster.Heartbeat:
+        return self._leader_sync.heartbeat()
+
+    async def _ask_upstream(self, name: str) -> None:
+        """Asks an upstream for any answer, which may name a limit."""
+        upstream = self._view.book.by_name.get(name)
+        cfg = self._view.configuration
+        if upstream is None or cfg is None:
+            return
+        service = cfg.services.get(upstream.service)
+        try:
+            if service is None or service.engine is not None:
+                await self._client.report(upstream)
+            else:
+                await self._client.check_health(upstream, service.health_path)
+        except (errors.UpstreamError, errors.WireError) as exc:
+            logs.event('limit_unconfirmed', upstream=name, reason=exc.message)
+
     def _node_info(self) -> cluster.NodeInfo:
         return cluster.NodeInfo(
             self.cfg.node,
@@ -291,7 +344,7 @@
         self._quarantine.decide()
         self._spawn(self._quarantine.store())
 
-    def _handle_heartbeat(self, beat) -> None:
+    def _handle_heartbeat(self, beat, _delay_s: float) -> None:
         self._election.extend_if_late()
         self._controllers.record_work(self._hub.total_work())
         self._controllers.probe_suspects(beat.suspects)
@@ -399,7 +452,7 @@
             'store_calls': self._store.call_count,
             'relayed_bytes': self._hub.sent_bytes,
             'groups': self._controllers.dump(),
-            'upstream_limits': self._dependencies.limits.in_force(),
+            'upstream_limits': self._limits.in_force(),
             'quarantined_parts': self._dependencies.quarantine.remaining_ms(),
         }
 
--- a/plantainway/errors.py
+++ b/plantainway/errors.py
@@ -137,6 +137,13 @@
         }
 
 
+class LeaderUnavailableError(PlantainwayError):
+    """The leader did not answer."""
+
+    code = 'leader_unavailable'
+    http_status = 503
+
+
 class OutcomeUnknownError(PlantainwayError):
     """The request was sent, but whether it took effect is unknown.
 
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -22,6 +22,7 @@
 KEEPALIVE_TIMEOUT_S = 8.0  # upstreams close idle connections after a time
 TCP_USER_TIMEOUT_MS = 4000  # unacknowledged data for longer: peer is lost
 ORDER_TIMEOUT_S = 0.8  # an order is accepted within about 10 ms
+HEALTH_TIMEOUT_S = 1.0  # a check waits for a slot as requests do
 REPORT_TIMEOUT_S = 0.25  # a report needs no slot and takes about 10 ms
 RESPONSE_BYTES_MAX = 4 << 20  # of a body that is read as a whole
 DEADLINE_MARGIN_MS = 5  # for returning the answer to the client
@@ -112,7 +113,6 @@
         self.ends_with_connection = not (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
-        self.rate_limit = _parse_rate_limit(headers, peer)
 
     async def read(self) -> bytes:
         """Returns the whole body; see the base class."""
@@ -175,12 +175,25 @@
         pooled_session: HTTP session that reuses connections.
         unpooled_session: HTTP session that opens a connection per request.
         clock: Source of monotonic time.
+
+    Attributes:
+        on_answer: Called with a runner and the rate that its answer names, in
+            requests a second: ``None`` if it names none, NaN if that is
+            unreadable. Answers of another runner at its address do not count.
     """
 
     def __init__(self, pooled_session, unpooled_session, clock):
         self._pooled_session = pooled_session
         self._unpooled_session = unpooled_session
         self._clock = clock
+        self.on_answer = []
+
+    def _handle_answer(self, upstream, resp) -> None:
+        if resp.status == STATUS_MISDIRECTED:
+            return
+        per_second = _parse_rate_limit(resp.headers, upstream.name)
+        for listener in self.on_answer:
+            listener(upstream, per_second)
 
     async def send(self, attempt: traffic.Attempt) -> RunnerResponse:
         """Sends one attempt of a request; see the base class."""
@@ -220,6 +233,7 @@
                 'request',
                 upstream.name,
             )
+        self._handle_answer(upstream, resp)
         return RunnerResponse(resp, upstream.name)
 
     def _headers(self, attempt, remaining_ms) -> multidict.CIMultiDict:
@@ -267,7 +281,27 @@
                 upstream.name,
                 refused=resp.status == STATUS_MISDIRECTED,
             )
-        return _messages.decode_report(body)
+        report = _messages.decode_report(body)
+        if report.started_ms in (0, upstream.started_ms):
+            self._handle_answer(upstream, resp)
+        return report
+
+    async def check_health(
+        self, upstream: deployment.Upstream, path: str
+    ) -> None:
+        """Requests the health of a runner; see the base class."""
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                async with self._pooled_session.get(
+                    f'http://{upstream.address}{path}',
+                    headers={_names.EXPECT_UPSTREAM: upstream.name},
+                ) as resp:
+                    await resp.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            raise errors.UpstreamError(
+                repr(exc)[:120], 'health', upstream.name
+            )
+        self._handle_answer(upstream, resp)
 
     async def order(
         self, upstream: deployment.Upstream, order: supply.Order
--- a/plantainway/ratelimits/_book.py
+++ b/plantainway/ratelimits/_book.py
@@ -1,31 +1,65 @@
-"""The limits that upstreams name in their answers."""
+"""The limits that upstreams name in their answers, as one node knows them."""
 
 import dataclasses
 import math
 
 from plantainway import logs
 
+# An observation is of no use for longer than an answer may be delayed.
+OBSERVATION_TTL_S = 30.0
+# An ended limit is remembered, so that older observations can't revive it.
+ENDED_TTL_S = 60.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class NamedLimit:
-    """What an incarnation of an upstream named last.
+class LimitObservation:
+    """What an answer of one incarnation of an upstream said of its limit.
 
-    ``per_second`` is in requests a second, ``None`` once an answer came
-    without a limit.
+    ``per_second`` is in requests a second, ``None`` for an answer without a
+    limit. ``age_ms`` counts from the answer to the sending of the
+    observation.
     """
 
+    upstream: str
     started_ms: int
     per_second: float | None
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    """Newest known answer; ``observed_at`` is the earliest possible time."""
+
+    started_ms: int
+    per_second: float | None
+    observed_at: float
 
 
 class LimitBook:
-    """Limits of upstreams, as their answers to this node name them."""
+    """The newest limit that each upstream has named.
+
+    Of two observations the one of the later answer holds, whichever arrives
+    first. Times of other nodes' answers are bounds from below, so that an
+    observation that was delayed on its way never counts as newer than it is.
+
+    Args:
+        clock: Source of monotonic time that goes on while the VM is
+            suspended.
 
-    def __init__(self):
-        self._limits: dict[str, NamedLimit] = {}
+    Attributes:
+        revision: Number of changes of the limits.
+        on_named: Called after an answer to this node has changed a limit.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._entries: dict[str, _Entry] = {}
+        self._unreported: set[str] = set()
+        self.revision = 0
+        self.on_named = []
 
     def observe(self, upstream, per_second: float | None) -> None:
-        """Records what an answer of an upstream says of its limit.
+        """Records an answer of an upstream to this node.
 
         Args:
             upstream: The upstream, as it was known when it was called.
@@ -33,20 +67,74 @@
                 together, ``None`` if it named no limit. NaN, which stands for
                 an unreadable value, is ignored.
         """
-        known = self._limits.get(upstream.name)
-        if known is None and per_second is None:
+        if per_second is None and upstream.name not in self._entries:
             return
         if per_second is not None and math.isnan(per_second):
             return
-        limit = NamedLimit(upstream.started_ms, per_second)
-        if limit != known:
-            self._limits[upstream.name] = limit
-            logs.event(
-                'upstream_limit',
-                upstream=upstream.name,
-                per_second=per_second,
-                was=known.per_second if known else None,
-            )
+        self._unreported.add(upstream.name)
+        revision = self.revision
+        self._set(
+            upstream.name,
+            _Entry(upstream.started_ms, per_second, self._clock.now()),
+        )
+        if self.revision != revision:
+            for listener in self.on_named:
+                listener()
+
+    def merge(self, observations, delay_s: float) -> None:
+        """Records what another node has observed, unless it is older.
+
+        Args:
+            observations: The observations.
+            delay_s: Longest possible time since they were sent.
+        """
+        now = self._clock.now()
+        for item in observations:
+            observed_at = now - delay_s - item.age_ms / 1000
+            entry = _Entry(item.started_ms, item.per_second, observed_at)
+            known = self._entries.get(item.upstream)
+            if known is None and (
+                item.per_second is None
+                or now - entry.observed_at > OBSERVATION_TTL_S
+            ):
+                continue
+            if known is None or entry.observed_at > known.observed_at:
+                self._set(item.upstream, entry)
+
+    def _set(self, name: str, entry: _Entry) -> None:
+        known = self._entries.get(name)
+        self._entries[name] = entry
+        was = known.per_second if known else None
+        is_restart = known is not None and known.started_ms != entry.started_ms
+        if entry.per_second == was and not is_restart:
+            return
+        self.revision += 1
+        logs.event(
+            'upstream_limit',
+            upstream=name,
+            per_second=entry.per_second,
+            was=was,
+        )
+
+    def find(self, upstream) -> float | None:
+        """Returns the limit of an incarnation of an upstream, if it has one.
+
+        Args:
+            upstream: The upstream.
+        """
+        entry = self._entries.get(upstream.name)
+        if entry is None or entry.started_ms != upstream.started_ms:
+            return None
+        return entry.per_second
+
+    def find_by_name(self, name: str) -> float | None:
+        """Returns the newest limit of an upstream, of any incarnation.
+
+        Args:
+            name: Name of the upstream.
+        """
+        entry = self._entries.get(name)
+        return entry.per_second if entry else None
 
     def forget(self, name: str) -> None:
         """Drops the limit of an upstream that no longer exists.
@@ -54,12 +142,55 @@
         Args:
             name: Name of the upstream.
         """
-        self._limits.pop(name, None)
+        self._unreported.discard(name)
+        if self._entries.pop(name, None) is not None:
+            self.revision += 1
+
+    def take_unreported(self) -> list[LimitObservation]:
+        """Returns the observations of this node since the last call."""
+        names, self._unreported = self._unreported, set()
+        return self._observations(names)
+
+    def observations(self) -> list[LimitObservation]:
+        """Returns all that is known, without limits that ended long ago."""
+        oldest = self._clock.now() - ENDED_TTL_S
+        self._entries = {
+            name: entry
+            for name, entry in self._entries.items()
+            if entry.per_second is not None or entry.observed_at > oldest
+        }
+        return self._observations(self._entries)
+
+    def _observations(self, names) -> list[LimitObservation]:
+        now = self._clock.now()
+        return [
+            LimitObservation(
+                name,
+                entry.started_ms,
+                entry.per_second,
+                int((now - entry.observed_at) * 1000) + 1,
+            )
+            for name in sorted(names)
+            if (entry := self._entries.get(name)) is not None
+        ]
 
     def in_force(self) -> dict[str, float]:
-        """Returns the limits in force by upstream, in requests a second."""
+        """Returns the limits by upstream, in requests a second."""
         return {
-            name: limit.per_second
-            for name, limit in self._limits.items()
-            if limit.per_second is not None
+            name: entry.per_second
+            for name, entry in self._entries.items()
+            if entry.per_second is not None
         }
+
+    def unconfirmed(self, age_s: float) -> list[str]:
+        """Returns the upstreams whose limit no answer has confirmed lately.
+
+        Args:
+            age_s: Seconds since the newest answer.
+        """
+        oldest = self._clock.now() - age_s
+        return [
+            name
+            for name, entry in self._entries.items()
+            if entry.per_second is not None and entry.observed_at < oldest
+        ]
--- /dev/null
+++ b/plantainway/ratelimits/_issuer.py
@@ -0,0 +1,223 @@
+"""Permits to send requests to limited upstreams, issued by the leader."""
+
+import collections
+import dataclasses
+
+from plantainway.ratelimits import _shares
+
+BURST_S = 0.5  # an unused limit may be caught up with for this long
+NODE_TIMEOUT_S = 1.2  # a node without a heartbeat for longer keeps its share
+# Longer than any node keeps a share, by the time an update is on its way.
+RESERVATION_TTL_S = _shares.SHARE_TTL_S + 2.0
+# Permits are kept for as long as the share of a node may be asked for.
+ISSUED_TTL_S = _shares.SHARE_WINDOW_S + 2 * NODE_TIMEOUT_S
+UNKNOWN_RETRY_AFTER_S = 2.0  # while no permit is in sight
+UPDATE_INTERVAL_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Answer to a node that asks where it may send one request.
+
+    ``upstream`` is empty if there is no permit; ``wait_s`` is then the time
+    to the next one, otherwise the time to wait before sending.
+    """
+
+    upstream: str
+    wait_s: float
+
+
+class _Schedule:
+    """Times at which one upstream may be sent a request.
+
+    ``next_at`` is when the next permit would fall due if they were evenly
+    spaced; a permit may be issued up to ``BURST_S`` before that.
+    """
+
+    def __init__(self, now: float):
+        self.created_at = now
+        self.next_at = now + BURST_S
+        self.per_second = 0.0
+        self.issued: collections.deque = collections.deque()
+
+    def set_rate(self, per_second: float, now: float) -> None:
+        if per_second != self.per_second and self.next_at > now:
+            ahead = (self.next_at - now) * self.per_second
+            if per_second and self.per_second:
+                self.next_at = now + ahead / per_second
+        self.per_second = per_second
+
+    def wait_s(self, now: float) -> float:
+        """Returns the seconds until a permit may be used."""
+        if not self.per_second:
+            return float('inf')
+        return max(self.next_at - BURST_S - now, 0.0)
+
+    def take(self, node: str, now: float) -> None:
+        """Issues the next permit."""
+        self.next_at = max(self.next_at, now) + 1 / self.per_second
+        self.issued.append((now, node))
+        while self.issued[0][0] < now - ISSUED_TTL_S:
+            self.issued.popleft()
+
+
+class PermitIssuer:
+    """Divides the limits of upstreams among the nodes, request by request.
+
+    All nodes together get as many permits as a limit allows. What a node that
+    is not heard of may go on sending is held back, until it is heard of again
+    or can't do so any more.
+
+    Args:
+        limits: The limits that upstreams have named.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, limits, clock):
+        self._limits = limits
+        self._clock = clock
+        self._schedules: dict[str, _Schedule] = {}
+        self._heard_at: dict[str, float] = {}
+        self._silent: dict[str, tuple[float, dict[str, int]]] = {}
+        self._unaccounted: set[str] = set()
+        self._unaccounted_until = float('-inf')
+        self._handed_over: collections.Counter = collections.Counter()
+        self._update_at = float('-inf')
+
+    def begin_term(self, nodes, own_shares: dict[str, int]) -> None:
+        """Starts anew, on becoming the leader.
+
+        Args:
+            nodes: Names of the other nodes that may hold shares.
+            own_shares: Shares of this node, by upstream.
+        """
+        self._schedules.clear()
+        self._heard_at.clear()
+        self._silent.clear()
+        self._unaccounted = set(nodes)
+        self._unaccounted_until = self._clock.now() + RESERVATION_TTL_S
+        self._handed_over = collections.Counter(own_shares)
+
+    def record_heard(self, node: str, shares: dict[str, int]) -> None:
+        """Records a heartbeat of a node, which is in touch now.
+
+        Args:
+            node: Name of the node.
+            shares: Shares that it held until now, by upstream.
+        """
+        self._heard_at[node] = self._clock.now()
+        self._silent.pop(node, None)
+        if node in self._unaccounted:
+            self._unaccounted.discard(node)
+            self._handed_over.update(shares)
+
+    def record_lost(self, node: str) -> None:
+        """Records that the link to a node has ended.
+
+        Args:
+            node: Name of the node.
+        """
+        heard_at = self._heard_at.pop(node, None)
+        if heard_at is not None:
+            self._hold_back(node, heard_at)
+
+    def _hold_back(self, node: str, heard_at: float) -> None:
+        oldest = heard_at - _shares.SHARE_WINDOW_S
+        shares = {
+            name: sum(
+                at >= oldest and issued_to == node
+                for at, issued_to in schedule.issued
+            )
+            for name, schedule in self._schedules.items()
+            if schedule.created_at < heard_at
+        }
+        self._silent[node] = (heard_at + RESERVATION_TTL_S, shares)
+
+    def absent_nodes(self) -> list[str]:
+        """Returns the nodes that may be using shares of their own."""
+        self._update_absent()
+        return sorted(self._silent.keys() | self._unaccounted)
+
+    def _update_absent(self) -> None:
+        now = self._clock.now()
+        if now < self._update_at:
+            return
+        self._update_at = now + UPDATE_INTERVAL_S
+        for node, heard_at in list(self._heard_at.items()):
+            if now - heard_at > NODE_TIMEOUT_S:
+                self.record_lost(node)
+        self._silent = {
+            node: (until, shares)
+            for node, (until, shares) in self._silent.items()
+            if now < until
+        }
+        if now >= self._unaccounted_until:
+            self._unaccounted.clear()
+
+    def _held_back(self, upstream: str, per_second: float) -> int:
+        """Returns how much of a limit absent nodes may use in a window."""
+        if not self._silent and not self._unaccounted:
+            return 0
+        node_count = (
+            len(self._heard_at)
+            + len(self._silent)
+            + len(self._unaccounted)
+            + 1
+        )
+        part = _shares.max_share(per_second, node_count)
+        count = sum(
+            min(shares.get(upstream, part), part)
+            for _until, shares in self._silent.values()
+        )
+        if self._unaccounted:
+            units = _shares.units(per_second)
+            count += min(
+                len(self._unaccounted) * part,
+                max(units - self._handed_over[upstream], 0),
+            )
+        return count
+
+    def issue(self, node: str, upstreams, max_wait_s: float) -> Permit:
+        """Issues a permit for one of some upstreams.
+
+        Args:
+            node: Name of the node that asks.
+            upstreams: Names of the upstreams, the best first.
+            max_wait_s: Longest time for which the request can wait.
+
+        Returns:
+            The permit that can be used first.
+        """
+        self._update_absent()
+        now = self._clock.now()
+        best, best_wait_s, best_schedule = '', float('inf'), None
+        for name in upstreams:
+            schedule, wait_s = self._look_up(name, now)
+            if wait_s < best_wait_s:
+                best, best_wait_s, best_schedule = name, wait_s, schedule
+        if best_wait_s > max_wait_s:
+            return Permit('', min(best_wait_s, UNKNOWN_RETRY_AFTER_S))
+        if best_schedule is not None:
+            best_schedule.take(node, now)
+        return Permit(best, best_wait_s)
+
+    def _look_up(self, name: str, now: float):
+        """Returns the schedule of an upstream and the wait for a permit."""
+        per_second = self._limits.find_by_name(name)
+        if per_second is None:
+            return None, 0.0
+        schedule = self._schedules.get(name)
+        if schedule is None:
+            schedule = self._schedules[name] = _Schedule(now)
+        held_back = self._held_back(name, per_second)
+        rate = max(per_second - held_back / _shares.SHARE_WINDOW_S, 0.0)
+        schedule.set_rate(rate, now)
+        return schedule, schedule.wait_s(now)
+
+    def forget(self, upstream: str) -> None:
+        """Drops the schedule of an upstream that no longer exists.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        self._schedules.pop(upstream, None)
--- /dev/null
+++ b/plantainway/ratelimits/_shares.py
@@ -0,0 +1,138 @@
+"""What a node may send to limited upstreams while it hears of no leader."""
+
+import math
+
+from plantainway.ratelimits import _window
+
+# A share is a number of requests in any window of this length.
+SHARE_WINDOW_S = 4.0
+# A node that hears of no leader for longer sends nothing to them any more.
+SHARE_TTL_S = 30.0
+# A share is at most this many times the equal part of a limit.
+SHARE_MAX_PARTS = 2
+
+
+def units(per_second: float) -> int:
+    """Returns how many requests a limit allows in ``SHARE_WINDOW_S``.
+
+    Args:
+        per_second: The limit in requests a second.
+    """
+    return int(per_second * SHARE_WINDOW_S)
+
+
+def max_share(per_second: float, node_count: int) -> int:
+    """Returns the largest share of a limit that one node keeps.
+
+    Args:
+        per_second: The limit in requests a second.
+        node_count: Number of nodes.
+    """
+    part = SHARE_MAX_PARTS * units(per_second) / max(node_count, 1)
+    return max(math.ceil(part), 1)
+
+
+class KeptShares:
+    """This node's shares of limits, for the time without a leader.
+
+    A share is what the node has sent in the window before it lost touch. The
+    requests of that window count, so that all nodes together go on sending as
+    much as they did. Of a limit that becomes known later each node has an
+    equal part.
+
+    Args:
+        node: Name of this node.
+        limits: The limits that upstreams have named.
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, node: str, limits, clock):
+        self._node = node
+        self._limits = limits
+        self._clock = clock
+        self._sent: dict[str, _window.SlidingWindow] = {}
+        self._shares: dict[str, int] = {}
+        self._nodes: frozenset = frozenset()
+        self._valid_until = float('-inf')
+        self._is_in_touch = True
+
+    def record_sent(self, upstream: str) -> None:
+        """Counts a request to a limited upstream.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        window = self._sent.get(upstream)
+        if window is None:
+            window = self._sent[upstream] = _window.SlidingWindow(self._clock)
+        window.add()
+
+    def update(self, is_in_touch: bool, nodes, heard_at: float) -> None:
+        """Fixes the shares when touch with the leader is lost.
+
+        Args:
+            is_in_touch: Whether this node leads or hears of the leader.
+            nodes: Names of the nodes as last known.
+            heard_at: Monotonic seconds when the leader was last heard of.
+        """
+        if is_in_touch:
+            self._is_in_touch = True
+            return
+        if not self._is_in_touch:
+            return
+        self._is_in_touch = False
+        self._nodes = frozenset(nodes) | {self._node}
+        self._valid_until = heard_at + SHARE_TTL_S
+        self._shares = {
+            name: min(self._sent_count(name), self._max_share(per_second))
+            for name, per_second in self._limits.in_force().items()
+        }
+
+    def _max_share(self, per_second: float) -> int:
+        return max_share(per_second, len(self._nodes))
+
+    def _sent_count(self, upstream: str) -> int:
+        window = self._sent.get(upstream)
+        return window.count(SHARE_WINDOW_S) if window else 0
+
+    def try_send(self, upstream: str) -> bool:
+        """Counts a request to a limited upstream, if the share allows it.
+
+        Args:
+            upstream: Name of the upstream.
+
+        Returns:
+            Whether the request may be sent.
+        """
+        share = self.shares().get(upstream, 0)
+        if self._sent_count(upstream) >= share:
+            return False
+        self.record_sent(upstream)
+        return True
+
+    def retry_after_s(self, upstreams) -> float:
+        """Returns the seconds until one of the shares allows a request.
+
+        Args:
+            upstreams: Names of the upstreams.
+        """
+        shares = self.shares()
+        return min(
+            (
+                self._sent[name].remaining_s(SHARE_WINDOW_S)
+                for name in upstreams
+                if shares.get(name) and name in self._sent
+            ),
+            default=SHARE_WINDOW_S,
+        )
+
+    def shares(self) -> dict[str, int]:
+        """Returns the shares in force by upstream, empty while in touch."""
+        if self._is_in_touch or self._clock.now() >= self._valid_until:
+            return {}
+        for name, per_second in self._limits.in_force().items():
+            if name not in self._shares:
+                self._shares[name] = _window.equal_quota(
+                    units(per_second), self._node, self._nodes
+                )
+        return {name: share for name, share in self._shares.items() if share}
--- a/plantainway/requests/_limits.py
+++ b/plantainway/requests/_limits.py
@@ -16,10 +16,11 @@
 deadline, how many of them it still uses.
 """
 
-import collections
 import dataclasses
 import math
 
+from plantainway import ratelimits
+
 LOAN_TERM_S = 2.0
 SHEET_PERIOD_S = 0.25  # minimum time between two sheets of a node
 WINDOW_S = 1.0
@@ -61,24 +62,6 @@
     return Limit(int(per_second * window_s), window_s)
 
 
-def base_quota(units: int, node: str, nodes) -> int:
-    """Returns a node's quota of a limit, 0 if it is not registered.
-
-    The quotas are equal; the nodes that come first by name get one unit of
-    the remainder each.
-
-    Args:
-        units: Units of the limit.
-        node: Name of the node.
-        nodes: Names of all registered nodes.
-    """
-    names = sorted(nodes)
-    if node not in names:
-        return 0
-    share, remainder = divmod(units, len(names))
-    return share + (names.index(node) < remainder)
-
-
 @dataclasses.dataclass(slots=True)
 class _Loan:
     """A loan of units; ``deadline`` is monotonic seconds.
@@ -108,7 +91,7 @@
         self._in_use_by: dict[str, int] = {}
         self._borrowed: dict[str, _Loan] = {}
         self._not_returned: dict[str, int] = {}
-        self._used_at: collections.deque = collections.deque()
+        self._used = ratelimits.SlidingWindow(clock)
         self._running = 0
         self._refused = 0
         self._asked = 0
@@ -122,7 +105,7 @@
             nodes: Names of the registered nodes.
         """
         self._limit = limit
-        self._quota = base_quota(limit.units, self._node, nodes)
+        self._quota = ratelimits.equal_quota(limit.units, self._node, nodes)
 
     def lent_units(self) -> int:
         """Returns the units of this node that other nodes may be using."""
@@ -166,10 +149,7 @@
         """Returns the units in use, or used within the current window."""
         if not self._limit.window_s:
             return self._running
-        oldest = self._clock.now() - self._limit.window_s
-        while self._used_at and self._used_at[0] <= oldest:
-            self._used_at.popleft()
-        return len(self._used_at)
+        return self._used.count(self._limit.window_s)
 
     def try_acquire(self) -> bool:
         """Uses one unit, if the share has one left.
@@ -184,7 +164,7 @@
             self._refused += 1
             return False
         if self._limit.window_s:
-            self._used_at.append(self._clock.now())
+            self._used.add()
         else:
             self._running += 1
         return True
@@ -196,9 +176,8 @@
 
     def retry_after_s(self) -> float:
         """Returns the seconds until a unit may be free again."""
-        if self._limit.window_s and self._used_at:
-            left_s = self._used_at[0] + self._limit.window_s
-            return max(left_s - self._clock.now(), 0.0)
+        if self._limit.window_s and self.used_units():
+            return self._used.remaining_s(self._limit.window_s)
         return WINDOW_S
 
     def update_demand(self) -> None:
--- a/plantainway/traffic/__init__.py
+++ b/plantainway/traffic/__init__.py
@@ -8,8 +8,10 @@
 from plantainway.traffic._health import HealthTracker
 from plantainway.traffic._loads import LoadTracker
 from plantainway.traffic._outcomes import OutcomeRecorder
+from plantainway.traffic._rates import RateGate
 from plantainway.traffic._stalls import StallDetector
 from plantainway.traffic._types import Attempt
+from plantainway.traffic._types import BasePermitSource
 from plantainway.traffic._types import BaseSink
 from plantainway.traffic._types import BaseUpstreamClient
 from plantainway.traffic._types import BaseUpstreamResponse
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -8,13 +8,13 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway import quarantine as quarantines
-from plantainway import ratelimits
 from plantainway.traffic import _budget
 from plantainway.traffic import _heads
 from plantainway.traffic import _health
 from plantainway.traffic import _loads
 from plantainway.traffic import _outcomes
 from plantainway.traffic import _plain
+from plantainway.traffic import _rates
 from plantainway.traffic import _stalls
 from plantainway.traffic import _stream
 from plantainway.traffic import _types
@@ -42,7 +42,7 @@
     outcomes: _outcomes.OutcomeRecorder
     quarantine: quarantines.Quarantine
     evidence: quarantines.EvidenceRecorder
-    limits: ratelimits.LimitBook
+    rates: _rates.RateGate
     on_failure: collections.abc.Callable | None = None
     on_stream_request: collections.abc.Callable | None = None
 
@@ -60,12 +60,12 @@
             self.heads,
             self.health,
             self.stalls,
-            self.limits,
+            self.rates,
         ):
             tracker.forget(upstream.name)
 
     async def send(self, attempt: _types.Attempt):
-        """Sends an attempt and records what the head of its response says.
+        """Counts an attempt and sends it.
 
         Args:
             attempt: The attempt.
@@ -77,10 +77,7 @@
             UpstreamError: If no response came.
         """
         self.outcomes.record_attempt(attempt.is_repeated)
-        response = await self.client.send(attempt)
-        if not response.misdirected:
-            self.limits.observe(attempt.upstream, response.rate_limit)
-        return response
+        return await self.client.send(attempt)
 
     def record_failure(self, upstream, reason: str, eject_now=False) -> None:
         """Counts a failure of an upstream and calls ``on_failure``.
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -9,6 +9,9 @@
 
 MAX_QUEUED_PER_GROUP = 3  # requests at a group beyond its slots
 FULL_BACKOFF_S = 0.15  # pause after a head has refused a request as full
+LIMITED = 'limited'  # reason of a refusal
+# A request waits this long for a permit even if it is late then.
+PERMIT_WAIT_MIN_S = 0.2
 LOAD_TOLERANCE = 2  # requests; loads that differ by no more are equal
 
 
@@ -36,15 +39,17 @@
         health: Which upstreams are ejected after failures.
         stalls: Which heads have stalled streams.
         loads: Requests in progress by upstream.
+        rates: Permits for heads that limit their rate.
         clock: Source of monotonic time.
         rng: Source of randomness.
     """
 
-    def __init__(self, upstreams, health, stalls, loads, clock, rng):
+    def __init__(self, upstreams, health, stalls, loads, rates, clock, rng):
         self._upstreams = upstreams
         self._health = health
         self._stalls = stalls
         self._loads = loads
+        self._rates = rates
         self._clock = clock
         self._rng = rng
         self._rotation = rng.randrange(1 << 16)
@@ -77,16 +82,25 @@
     def _max_load(self, head) -> int:
         return head.slots + MAX_QUEUED_PER_GROUP
 
-    def _choose_head(self, heads):
-        available = [
+    def _with_capacity(self, heads) -> list:
+        return [
             item
             for item in heads
             if self._loads.total(item.name) < self._max_load(item)
             and not self._is_full(item.name)
         ]
+
+    def _min_load(self, heads) -> float:
+        return min(
+            (self._loads.total(item.name) for item in heads),
+            default=float('inf'),
+        )
+
+    def _choose_head(self, heads):
+        available = self._with_capacity(heads)
         if not available:
             return None
-        min_load = min(self._loads.total(item.name) for item in available)
+        min_load = self._min_load(available)
         least_loaded = [
             item
             for item in available
@@ -147,10 +161,29 @@
     def _try_reserve(
         self, service, model, excluded_heads
     ) -> Reservation | None:
-        """Reserves capacity at a head without waiting.
+        """Reserves capacity at a head without a limit, without waiting.
 
         Returns:
-            The reservation, ``None`` if all groups are full.
+            The reservation, ``None`` if all these groups are full.
+
+        Raises:
+            NotRunError: If no group is open, or with the reason ``limited``
+                if all heads have limits.
+        """
+        unlimited, _limited = self._split(service, model, excluded_heads)
+        if not unlimited:
+            raise errors.NotRunError(
+                'all groups limit their rate', 'queue', reason=LIMITED
+            )
+        head = self._choose_head(unlimited)
+        return None if head is None else self._reserve_at(head, service, model)
+
+    def _reserve_at(self, head, service, model) -> Reservation:
+        self._loads.increment(head.name)
+        return Reservation(head, service, model)
+
+    def _split(self, service, model, excluded_heads) -> tuple[list, list]:
+        """Returns the unlimited and the limited open heads of a model.
 
         Raises:
             NotRunError: If no group is open.
@@ -160,11 +193,55 @@
             raise errors.NotRunError(
                 'no open group serves the model', 'route', reason='unavailable'
             )
-        head = self._choose_head(heads)
-        if head is None:
+        return self._rates.split(heads)
+
+    async def _try_reserve_limited(
+        self, service, model, entry
+    ) -> Reservation | None:
+        """Reserves capacity at a limited head that is less loaded.
+
+        Only if it has a permit now, and has less to do than the other heads.
+
+        Returns:
+            The reservation, ``None`` if another head is the better choice.
+        """
+        unlimited, limited = self._split(service, model, entry.excluded_heads)
+        limited = self._with_capacity(limited)
+        others = self._with_capacity(unlimited)
+        if not limited or not others:
             return None
-        self._loads.increment(head.name)
-        return Reservation(head, service, model)
+        if self._min_load(limited) + LOAD_TOLERANCE >= self._min_load(others):
+            return None
+        head = await self._rates.try_acquire((service, model), limited)
+        return None if head is None else self._reserve_at(head, service, model)
+
+    async def _reserve_limited(self, service, model, entry) -> Reservation:
+        """Waits for a permit for a limited head.
+
+        Raises:
+            NotRunError: At once, if there is none in time.
+        """
+        _unlimited, limited = self._split(service, model, entry.excluded_heads)
+        limited = self._with_capacity(limited)
+        if not limited:
+            raise errors.NotRunError(
+                'all groups are full',
+                'queue',
+                reason='overload',
+                retry_after_s=self._queue_for(service, model).predicted_wait_s(
+                    entry
+                ),
+            )
+        now = self._clock.now()
+        latest_at = entry.client_gone_at - _queue.START_LATENCY_S
+        due_at = max(
+            entry.on_time_until - _queue.START_LATENCY_S,
+            now + PERMIT_WAIT_MIN_S,
+        )
+        head = await self._rates.acquire(
+            limited, max(min(due_at, latest_at) - now, 0.0)
+        )
+        return self._reserve_at(head, service, model)
 
     async def reserve(
         self, service, model, entry: _queue.QueueEntry
@@ -187,12 +264,30 @@
                 or if the request can't be served in time.
         """
         queue = self._queue_for(service, model)
-        if not len(queue):
+        reservation = await self._try_reserve_limited(service, model, entry)
+        if reservation is not None:
+            return reservation
+        unlimited, limited = self._split(service, model, entry.excluded_heads)
+        if unlimited and not len(queue):
             reservation = self._try_reserve(
                 service, model, entry.excluded_heads
             )
             if reservation is not None:
                 return reservation
+        if limited:
+            try:
+                return await self._reserve_limited(service, model, entry)
+            except errors.NotRunError:
+                if not unlimited:
+                    raise
+        try:
+            return await self._reserve_queued(queue, entry)
+        except errors.NotRunError as exc:
+            if exc.reason != LIMITED:
+                raise
+            return await self._reserve_limited(service, model, entry)
+
+    async def _reserve_queued(self, queue, entry) -> Reservation:
         if not queue.may_wait(entry):
             raise errors.NotRunError(
                 'all groups are full and the wait is too long',
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -8,12 +8,14 @@
 
 from plantainway import deployment
 from plantainway import errors
+from plantainway.traffic import _queue
 from plantainway.traffic import _types
 
 MAX_SENDS = 4  # attempts per request, including refused ones
 REFUSED_RETRY_AFTER_S = 0.3  # several run times of a plain request
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
+PERMIT_WAIT_TARGETS = 0.5  # of the route; the rest is for the run
 ATTEMPT_TIMEOUT_TARGETS = 1.75  # of the route; then a safe request is retried
 
 
@@ -28,12 +30,31 @@
         self._deps = deps
         self._rotations: collections.Counter = collections.Counter()
 
-    def _choose_upstream(self, service: str, tried_names):
+    async def _choose_upstream(self, service: str, tried_names, wait_until):
         """Returns the upstream with the fewest requests of all nodes.
 
-        Equally loaded ones are used in turn. Returns ``None`` if there is
-        none that was not tried and is not draining.
+        Equally loaded ones are used in turn. One that limits its rate is
+        returned only with a permit, for which the request waits if there are
+        no others. Returns ``None`` if there is none that was not tried and is
+        not draining.
+
+        Raises:
+            NotRunError: If there is no permit until ``wait_until``.
         """
+        deps = self._deps
+        candidates = self._candidates(service, tried_names)
+        chosen = self._least_loaded(service, candidates)
+        unlimited, limited = deps.rates.split(candidates)
+        if chosen is None or chosen in unlimited:
+            return chosen
+        if not unlimited:
+            return await deps.rates.acquire(
+                limited, max(wait_until - deps.clock.now(), 0.0)
+            )
+        permitted = await deps.rates.try_acquire(service, limited)
+        return permitted or self._least_loaded(service, unlimited)
+
+    def _candidates(self, service: str, tried_names) -> list:
         deps = self._deps
         active = [
             item
@@ -41,7 +62,10 @@
             if not item.draining
         ]
         candidates = [item for item in active if item.name not in tried_names]
-        candidates = deps.health.exclude_ejected(candidates)
+        return deps.health.exclude_ejected(candidates)
+
+    def _least_loaded(self, service: str, candidates):
+        deps = self._deps
         if not candidates:
             return None
         self._rotations[service] += 1
@@ -74,12 +98,19 @@
         tried_names = set()
         runs = 0
         last_response = None
+        refused = None
+        wait_until = min(
+            req.arrived_at
+            + route.latency_target_ms * PERMIT_WAIT_TARGETS / 1000,
+            deadline,
+        )
         for sends in range(MAX_SENDS):
-            upstream = self._choose_upstream(service, tried_names)
-            if upstream is None and runs == 0 and tried_names:
+            if runs == 0 and not self._candidates(service, tried_names):
                 tried_names.clear()
-                upstream = self._choose_upstream(service, tried_names)
-            if upstream is None or deps.clock.now() >= deadline:
+            if (
+                not self._candidates(service, tried_names)
+                or deps.clock.now() >= deadline
+            ):
                 break
             if deps.quarantine.find(req.shared_parts) is not None:
                 break
@@ -88,6 +119,15 @@
                     req, 'retry_denied', service=service
                 )
                 break
+            try:
+                upstream = await self._choose_upstream(
+                    service, tried_names, wait_until
+                )
+            except errors.NotRunError as exc:
+                refused = exc
+                break
+            if upstream is None or deps.clock.now() >= deadline:
+                break
             is_last = runs + 1 >= route.max_attempts
             result = await self._run_attempt(
                 req, route, upstream, account, deadline, is_last, sends > 0
@@ -112,6 +152,15 @@
                 break
         if last_response is not None:
             return last_response
+        if runs == 0 and refused is not None:
+            remaining_s = req.deadline - deps.clock.now()
+            return _types.Response(
+                503,
+                retry_after_s=_queue.retry_after_s(
+                    refused.retry_after_s, remaining_s
+                ),
+                reason=refused.message,
+            )
         if runs == 0:
             return _types.Response(
                 503,
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -93,8 +93,6 @@
             failed, or empty.
         ends_with_connection: Whether the body has neither a length nor
             chunks, so that only the end of the connection ends it.
-        rate_limit: Requests a second that the upstream takes from all nodes
-            together, ``None`` if it names no limit, NaN if that is unreadable.
     """
 
     status: int
@@ -104,7 +102,6 @@
     signed: bool
     failed_upstream: str = ''
     ends_with_connection: bool = False
-    rate_limit: float | None = None
 
     @abc.abstractmethod
     async def read(self) -> bytes:
@@ -158,6 +155,42 @@
         """
 
 
+class BasePermitSource(abc.ABC):
+    """Knows which upstreams limit their rate, and who may send to them."""
+
+    @abc.abstractmethod
+    def is_limited(self, upstream: deployment.Upstream) -> bool:
+        """Returns whether requests to an upstream need a permit.
+
+        Args:
+            upstream: The upstream.
+        """
+
+    @abc.abstractmethod
+    async def acquire(self, upstreams, max_wait_s: float):
+        """Waits until one request may be sent to one of some upstreams.
+
+        Args:
+            upstreams: Limited upstreams, the best first.
+            max_wait_s: Longest time for which the request can wait.
+
+        Returns:
+            The upstream, to which one request is to be sent at once.
+
+        Raises:
+            NotRunError: At once, if there is no permit within that time,
+                with the time to the next one.
+        """
+
+    @abc.abstractmethod
+    def forget(self, name: str) -> None:
+        """Drops the limit of an upstream that no longer exists.
+
+        Args:
+            name: Name of the upstream.
+        """
+
+
 class BaseSink(abc.ABC):
     """Sends a streamed response to a client."""
 
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -411,4 +411,4 @@
 def test_invalid_update_is_refused(data):
     """A message that is no update, or too long once decompressed."""
     with pytest.raises(errors.WireError):
-        _messages.decode_update(data, 'n1')
+        _messages.decode_from_leader(data, 'n1')
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -84,9 +84,8 @@
     part of an event and a reset (``torn``), or with an open connection that
     stays idle (``silent``). ``broken`` goes before both. The runner crashes
     when it is about to send the first event of a request whose prompt has
-    ``crash_part``, and starts again after ``RESTART_S``. All answers but
-    those to requests for another runner name ``rate_limit``, unless it is
-    empty.
+    ``crash_part``, and starts again after ``RESTART_S``. All answers name
+    ``rate_limit``, unless it is empty.
     """
 
     broken: BrokenAnswer | None = None
@@ -229,7 +228,8 @@
             return
         expected = headers.get('expect-instance', self.name)
         if expected != self.name:
-            _send(writer, 421, [('Instance-Id', self.name)], b'')
+            headers = self._named([('Instance-Id', self.name)])
+            _send(writer, 421, headers, b'')
             return
         if target == '/plantainway/order':
             status = self._order(json.loads(body))
--- a/tests/requests/test_limits.py
+++ b/tests/requests/test_limits.py
@@ -6,6 +6,7 @@
 
 from plantainway import clock
 from plantainway import objects
+from plantainway import ratelimits
 from plantainway import requests
 from plantainway.requests import _limits
 from plantainway.requests import _sharing
@@ -240,9 +241,9 @@
 def test_quotas_sum_to_the_limit(units, count):
     """Every unit belongs to exactly one node."""
     names = [f'n{number}' for number in range(count)]
-    quotas = [_limits.base_quota(units, name, names) for name in names]
+    quotas = [ratelimits.equal_quota(units, name, names) for name in names]
     assert sum(quotas) == units
-    assert _limits.base_quota(units, 'stranger', names) == 0
+    assert ratelimits.equal_quota(units, 'stranger', names) == 0
 
 
 def test_joining_node_borrows_until_it_is_counted():
--- a/tests/traffic/test_heads.py
+++ b/tests/traffic/test_heads.py
@@ -21,6 +21,34 @@
     )
 
 
+class FakePermits(traffic.BasePermitSource):
+    """Permits of which a test sets the number, by upstream."""
+
+    def __init__(self):
+        self.left: dict[str, int] = {}
+        self.retry_after_s = 0.7
+        self.asked: list[float] = []
+
+    def is_limited(self, upstream):
+        """Returns whether the test has set a number."""
+        return upstream.name in self.left
+
+    async def acquire(self, upstreams, max_wait_s):
+        """Takes a permit, without waiting."""
+        self.asked.append(max_wait_s)
+        for item in upstreams:
+            if self.left[item.name] > 0:
+                self.left[item.name] -= 1
+                return item
+        raise errors.NotRunError(
+            'no permit', reason='limited', retry_after_s=self.retry_after_s
+        )
+
+    def forget(self, name):
+        """Drops the limit of an upstream."""
+        self.left.pop(name, None)
+
+
 class PoolHarness:
     """A head pool over the given heads, with its real components."""
 
@@ -31,11 +59,13 @@
         self.health = traffic.HealthTracker(self.clock)
         self.stalls = traffic.StallDetector(self.clock)
         self.loads = traffic.LoadTracker()
+        self.permits = FakePermits()
         self.pool = traffic.HeadPool(
             self.book,
             self.health,
             self.stalls,
             self.loads,
+            traffic.RateGate(self.permits, self.loads, self.clock),
             self.clock,
             random.Random(1),
         )
@@ -139,3 +169,58 @@
     with pytest.raises(errors.NotRunError) as caught:
         await harness.reserve()
     assert caught.value.reason == 'unavailable'
+
+
+async def test_limited_heads_get_requests_only_with_a_permit():
+    """One without a limit has room for the rest."""
+    harness = PoolHarness(_head('h0'), _head('h1', epoch=2))
+    harness.permits.left = {'h0': 0}
+    for _request in range(4):
+        assert (await harness.reserve()).head.name == 'h1'
+    harness.permits.left = {'h0': 1}
+    harness.clock.advance(harness.permits.retry_after_s)
+    heads = [(await harness.reserve()).head.name for _request in range(2)]
+    assert sorted(heads) == ['h0', 'h1']
+
+
+@pytest.mark.parametrize(
+    'on_time_s, gone_s, wait_s',
+    [(0.5, 2.0, 0.38), (0.1, 2.0, 0.2), (-1.0, 2.0, 0.2), (0.5, 0.3, 0.18)],
+)
+async def test_refused_with_the_time_to_the_next_permit(
+    on_time_s, gone_s, wait_s
+):
+    """A request asks to wait only as long as that is of use."""
+    harness = PoolHarness(_head('h0'), _head('h1', epoch=2))
+    harness.permits.left = {'h0': 0, 'h1': 0}
+    now = harness.clock.now()
+    entry = _queue.QueueEntry(1, now, now + on_time_s, now + gone_s)
+    with pytest.raises(errors.NotRunError) as caught:
+        await harness.pool.reserve('s', 'm0', entry)
+    assert caught.value.retry_after_s == harness.permits.retry_after_s
+    assert harness.permits.asked == [pytest.approx(wait_s)]
+    assert not harness.loads.local_counts
+
+
+async def test_full_heads_are_not_asked_a_permit_for():
+    """They would not begin with the request."""
+    harness = PoolHarness(_head('h0', slots=0))
+    harness.permits.left = {'h0': 9}
+    for _request in range(traffic.MAX_QUEUED_PER_GROUP):
+        await harness.reserve()
+    with pytest.raises(errors.NotRunError):
+        await harness.reserve()
+    assert harness.permits.left == {'h0': 6}
+
+
+async def test_waiting_requests_ask_for_a_permit_once_all_heads_are_limited():
+    """They do not wait in vain for capacity without a limit."""
+    harness = PoolHarness(_head('h0', slots=0))
+    for _request in range(traffic.MAX_QUEUED_PER_GROUP):
+        reservation = await harness.reserve()
+    waiting = asyncio.ensure_future(harness.reserve())
+    await asyncio.sleep(0)
+    harness.permits.left = {'h0': 1}
+    harness.pool.release(reservation)
+    assert (await waiting).head.name == 'h0'
+    assert harness.permits.left == {'h0': 0}
