--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -712,8 +712,8 @@
     Mutant(
         'limited heads need a permit',
         'plantainway/traffic/_heads.py',
-        'unlimited, _limited = self._split(service, model, excluded_heads)',
-        'unlimited = self.candidates(service, model, excluded_heads)',
+        'return self._rates.split(heads)',
+        'return heads, []',
         'tests/traffic/test_heads.py',
     ),
     Mutant(
--- a/plantainway/edge/_permits.py
+++ b/plantainway/edge/_permits.py
@@ -10,7 +10,6 @@
 CONFIRM_AFTER_S = 2.0
 CONFIRM_INTERVAL_S = 1.0
 TICK_S = 0.1
-REASON = 'limited'
 LEADER_RETRY_AFTER_S = 0.5  # a lost leader is noticed within about a second
 
 
@@ -47,7 +46,7 @@
             raise errors.NotRunError(
                 'upstreams take no more requests for now',
                 'permit',
-                reason=REASON,
+                reason=traffic.REASON_LIMITED,
                 retry_after_s=permit.wait_s,
             )
         if permit.wait_s > 0:
--- a/plantainway/ratelimits/_book.py
+++ b/plantainway/ratelimits/_book.py
@@ -9,6 +9,9 @@
 OBSERVATION_TTL_S = 30.0
 # An ended limit is remembered, so that older observations can't revive it.
 ENDED_TTL_S = 60.0
+# The leader asks upstreams with a limit every few seconds; one that was not
+# heard of for this long no longer exists.
+LIMIT_TTL_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,12 +155,13 @@
         return self._observations(names)
 
     def observations(self) -> list[LimitObservation]:
-        """Returns all that is known, without limits that ended long ago."""
-        oldest = self._clock.now() - ENDED_TTL_S
+        """Returns all that is known, and drops what is too old."""
+        now = self._clock.now()
         self._entries = {
             name: entry
             for name, entry in self._entries.items()
-            if entry.per_second is not None or entry.observed_at > oldest
+            if now - entry.observed_at
+            < (ENDED_TTL_S if entry.per_second is None else LIMIT_TTL_S)
         }
         return self._observations(self._entries)
 
--- a/plantainway/traffic/__init__.py
+++ b/plantainway/traffic/__init__.py
@@ -15,5 +15,6 @@
 from plantainway.traffic._types import BaseSink
 from plantainway.traffic._types import BaseUpstreamClient
 from plantainway.traffic._types import BaseUpstreamResponse
+from plantainway.traffic._types import REASON_LIMITED
 from plantainway.traffic._types import Request
 from plantainway.traffic._types import Response
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -6,10 +6,10 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway.traffic import _queue
+from plantainway.traffic import _types
 
 MAX_QUEUED_PER_GROUP = 3  # requests at a group beyond its slots
 FULL_BACKOFF_S = 0.15  # pause after a head has refused a request as full
-LIMITED = 'limited'  # reason of a refusal
 # A request waits this long for a permit even if it is late then.
 PERMIT_WAIT_MIN_S = 0.2
 LOAD_TOLERANCE = 2  # requests; loads that differ by no more are equal
@@ -167,15 +167,20 @@
             The reservation, ``None`` if all these groups are full.
 
         Raises:
-            NotRunError: If no group is open, or with the reason ``limited``
-                if all heads have limits.
+            NotRunError: If no group is open, or with ``REASON_LIMITED`` if
+                all heads have limits.
         """
         unlimited, _limited = self._split(service, model, excluded_heads)
         if not unlimited:
             raise errors.NotRunError(
-                'all groups limit their rate', 'queue', reason=LIMITED
+                'all groups limit their rate',
+                'queue',
+                reason=_types.REASON_LIMITED,
             )
-        head = self._choose_head(unlimited)
+        return self._try_reserve_among(unlimited, service, model)
+
+    def _try_reserve_among(self, heads, service, model) -> Reservation | None:
+        head = self._choose_head(heads)
         return None if head is None else self._reserve_at(head, service, model)
 
     def _reserve_at(self, head, service, model) -> Reservation:
@@ -196,16 +201,21 @@
         return self._rates.split(heads)
 
     async def _try_reserve_limited(
-        self, service, model, entry
+        self, unlimited, limited, service, model
     ) -> Reservation | None:
         """Reserves capacity at a limited head that is less loaded.
 
         Only if it has a permit now, and has less to do than the other heads.
 
+        Args:
+            unlimited: The other heads.
+            limited: Limited heads.
+            service: Name of the service.
+            model: Name of the model.
+
         Returns:
             The reservation, ``None`` if another head is the better choice.
         """
-        unlimited, limited = self._split(service, model, entry.excluded_heads)
         limited = self._with_capacity(limited)
         others = self._with_capacity(unlimited)
         if not limited or not others:
@@ -264,14 +274,18 @@
                 or if the request can't be served in time.
         """
         queue = self._queue_for(service, model)
-        reservation = await self._try_reserve_limited(service, model, entry)
-        if reservation is not None:
-            return reservation
         unlimited, limited = self._split(service, model, entry.excluded_heads)
-        if unlimited and not len(queue):
-            reservation = self._try_reserve(
+        if limited:
+            reservation = await self._try_reserve_limited(
+                unlimited, limited, service, model
+            )
+            if reservation is not None:
+                return reservation
+            unlimited, limited = self._split(
                 service, model, entry.excluded_heads
             )
+        if not len(queue):
+            reservation = self._try_reserve_among(unlimited, service, model)
             if reservation is not None:
                 return reservation
         if limited:
@@ -283,7 +297,7 @@
         try:
             return await self._reserve_queued(queue, entry)
         except errors.NotRunError as exc:
-            if exc.reason != LIMITED:
+            if exc.reason != _types.REASON_LIMITED:
                 raise
             return await self._reserve_limited(service, model, entry)
 
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -30,22 +30,25 @@
         self._deps = deps
         self._rotations: collections.Counter = collections.Counter()
 
-    async def _choose_upstream(self, service: str, tried_names, wait_until):
+    async def _choose_upstream(self, service: str, candidates, wait_until):
         """Returns the upstream with the fewest requests of all nodes.
 
         Equally loaded ones are used in turn. One that limits its rate is
         returned only with a permit, for which the request waits if there are
-        no others. Returns ``None`` if there is none that was not tried and is
-        not draining.
+        no others.
+
+        Args:
+            service: Name of the service.
+            candidates: Upstreams to choose from, at least one.
+            wait_until: Monotonic seconds until which the request can wait.
 
         Raises:
-            NotRunError: If there is no permit until ``wait_until``.
+            NotRunError: If there is no permit in that time.
         """
         deps = self._deps
-        candidates = self._candidates(service, tried_names)
-        chosen = self._least_loaded(service, candidates)
         unlimited, limited = deps.rates.split(candidates)
-        if chosen is None or chosen in unlimited:
+        chosen = self._least_loaded(service, candidates)
+        if chosen in unlimited:
             return chosen
         if not unlimited:
             return await deps.rates.acquire(
@@ -55,6 +58,7 @@
         return permitted or self._least_loaded(service, unlimited)
 
     def _candidates(self, service: str, tried_names) -> list:
+        """Returns upstreams that were not tried and are not draining."""
         deps = self._deps
         active = [
             item
@@ -66,8 +70,6 @@
 
     def _least_loaded(self, service: str, candidates):
         deps = self._deps
-        if not candidates:
-            return None
         self._rotations[service] += 1
         rotation = self._rotations[service]
         rotated = sorted(candidates, key=lambda item: item.name)
@@ -105,12 +107,11 @@
             deadline,
         )
         for sends in range(MAX_SENDS):
-            if runs == 0 and not self._candidates(service, tried_names):
+            candidates = self._candidates(service, tried_names)
+            if not candidates and runs == 0:
                 tried_names.clear()
-            if (
-                not self._candidates(service, tried_names)
-                or deps.clock.now() >= deadline
-            ):
+                candidates = self._candidates(service, tried_names)
+            if not candidates or deps.clock.now() >= deadline:
                 break
             if deps.quarantine.find(req.shared_parts) is not None:
                 break
@@ -121,13 +122,11 @@
                 break
             try:
                 upstream = await self._choose_upstream(
-                    service, tried_names, wait_until
+                    service, candidates, wait_until
                 )
             except errors.NotRunError as exc:
                 refused = exc
                 break
-            if upstream is None or deps.clock.now() >= deadline:
-                break
             is_last = runs + 1 >= route.max_attempts
             result = await self._run_attempt(
                 req, route, upstream, account, deadline, is_last, sends > 0
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -8,6 +8,8 @@
 from plantainway import errors
 from plantainway import logs
 
+# Reason of refusals by upstreams that limit their rate.
+REASON_LIMITED = 'limited'
 DISCARD_TIMEOUT_S = 0.2  # the body of a refusal follows its head at once
 
 
