Test that a restarted member is missed although it obeyed its old order

A guard of the planner had no test: a member that has restarted and then carried out a repeated order shows the copy and token that are expected of it, and only its boot tells that its weights and requests are gone.

--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -134,6 +134,10 @@
     fix.seen('f-c1-1', boot='b2', role='idle', copy_id='', token=0)
 
 
+def _restarted_and_obeyed_old_order(fix):
+    fix.seen('f-c1-1', boot='b2')
+
+
 def _obeyed_old_order(fix):
     fix.seen('f-c1-1', token=0, role='ready')
 
@@ -218,6 +222,7 @@
         (_one_has_old_token, []),
         (_one_unseen, []),
         (_restarted, ['Reform']),
+        (_restarted_and_obeyed_old_order, ['Reform']),
         (_obeyed_old_order, ['Reform']),
         (_unseen, []),
         (_lost_briefly, []),
