Relay the newest configuration known, whatever a restored store holds

In a test a node that starts after the store has come back from a copy, and before the operator has written again, answers by the older configuration of the copy (404 for routes that a confirmed one has), for as long as the operator does not write, while all others have the confirmed one in force.

Cause: versions of rows grow over a restore, so the copy's older value is the newest row; it is what nodes cached and relayed, though the configuration in force goes by its own version. Two orders for one thing.

Why this works: the table cache ranks the row of the configuration by the version in it. A lower one neither replaces nor removes a known one; the leader relays what it keeps so to all nodes, and a relayed value of a higher rank replaces one of the same row version.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -284,8 +284,9 @@
     Mutant(
         'older rows do not replace newer ones',
         'plantainway/cluster/_follower.py',
-        'if known is not None and known.version >= row.version:',
-        'if False:',
+        '        if rank_of is None:\n'
+        '            return row.version > known.version',
+        '        if rank_of is None:\n            return True',
         'tests/cluster/test_follower.py',
     ),
     Mutant(
@@ -404,9 +405,9 @@
     Mutant(
         'a new leader sends no rows that a node holds already',
         'plantainway/cluster/_follower.py',
-        'if row.version > version]',
-        ']',
-        'tests/cluster/test_hub.py',
+        'if row.version > version or row.key in self._kept_keys',
+        'if True',
+        'tests/cluster/test_hub.py tests/cluster/test_follower.py',
     ),
     Mutant(
         'long updates are compressed',
@@ -653,6 +654,20 @@
         'if member is not None:',
         'tests/supply/test_warming.py',
     ),
+    Mutant(
+        'values of a lower rank do not replace known ones',
+        'plantainway/cluster/_follower.py',
+        '        if rank >= known_rank:\n            return rank',
+        '        if True:\n            return rank',
+        'tests/cluster/test_follower.py',
+    ),
+    Mutant(
+        'values that the store lacks are relayed',
+        'plantainway/cluster/_follower.py',
+        'if row.version > version or row.key in self._kept_keys',
+        'if row.version > version',
+        'tests/cluster/test_follower.py',
+    ),
     Mutant(
         'later answer holds, not the one that arrives later',
         'plantainway/ratelimits/_book.py',
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -2,12 +2,14 @@
 
 Snapshots and changes come from the store or are relayed by the leader. A row
 only replaces a known one if its version is higher, so data that arrives late
-never reverts a row.
+never reverts a row. Where values have a rank, a lower one never replaces a
+known one: the store may come back from a copy with an older value.
 """
 
 import collections
 
 from plantainway import logs
+from plantainway import stores
 
 REMOVAL_GRACE_S = 2.0  # writers restore entries that expired in an outage
 OUTAGE_MIN_S = 1.0  # shorter failures do not count as an outage
@@ -23,6 +25,8 @@
         defers_removals: Whether rows that are removed within
             ``REMOVAL_GRACE_S`` after an outage of the store are kept until
             that time is over, so that their writers can write them again.
+        ranks: Functions by key that return the rank of the row's value, which
+            grows with each change. Such rows are never removed.
 
     Attributes:
         rows: Rows by key.
@@ -34,7 +38,11 @@
         on_change: Called with the changed rows and the removed keys.
     """
 
-    def __init__(self, name: str, clock, defers_removals: bool = False):
+    def __init__(
+        self, name: str, clock, defers_removals: bool = False, ranks=None
+    ):
+        self._ranks = ranks or {}
+        self._kept_keys: set[str] = set()
         self.name = name
         self._clock = clock
         self._defers_removals = defers_removals
@@ -111,12 +119,7 @@
             else {row.key for row in reading.rows}
         )
         removed_keys = [key for key in self.rows if key not in present]
-        changed = [
-            row
-            for row in reading.rows
-            if row.key not in self.rows
-            or self.rows[row.key].version < row.version
-        ]
+        changed = [row for row in reading.rows if self._replaces(row)]
         self._update_rows(changed, removed_keys, reading.version, as_of)
 
     def apply_changes(self, reading, as_of: float) -> None:
@@ -135,8 +138,7 @@
         changed = {}
         removed_keys = {}
         for row in reading.rows:
-            known = self.rows.get(row.key)
-            if known is not None and known.version >= row.version:
+            if not self._replaces(row):
                 continue
             changed.pop(row.key, None)
             removed_keys.pop(row.key, None)
@@ -148,6 +150,44 @@
             list(changed.values()), list(removed_keys), reading.version, as_of
         )
 
+    def _replaces(self, row) -> bool:
+        """Returns whether a row is newer than the known one.
+
+        If it is newer but has a value of a lower rank, the known value gets
+        its version and is relayed again: other nodes may have got the row
+        from the store.
+        """
+        known = self.rows.get(row.key)
+        if known is None:
+            return True
+        rank_of = self._ranks.get(row.key)
+        if rank_of is None:
+            return row.version > known.version
+        rank = -1 if row.value is None else rank_of(row.value)
+        known_rank = rank_of(known.value)
+        if rank >= known_rank:
+            return rank > known_rank or row.version > known.version
+        if row.version > known.version:
+            logs.event(
+                'older_value_ignored',
+                table=self.name,
+                key=row.key,
+                row_version=row.version,
+                rank=rank,
+                known=known_rank,
+            )
+            self.rows[row.key] = stores.RawRow(
+                row.key, known.value, row.version
+            )
+            self._keep(row.key)
+        return False
+
+    def _keep(self, key: str) -> None:
+        """Relays a known row although the store does not have it."""
+        self._kept_keys.add(key)
+        self.revision += 1
+        self._recent_changes.append((self.revision, [key], []))
+
     def _record_contact(self) -> None:
         now = self._clock.now()
         failing_since = self._failing_since
@@ -166,11 +206,16 @@
         now = self._clock.now()
         for row in changed:
             self.rows[row.key] = row
+            self._kept_keys.discard(row.key)
             self._removal_due_at.pop(row.key, None)
         removed = []
         for key in removed_keys:
             if key not in self.rows:
                 continue
+            if key in self._ranks:
+                if key not in self._kept_keys:
+                    self._keep(key)
+                continue
             if self._defers_removals and now < self._grace_until:
                 self._removal_due_at.setdefault(key, self._grace_until)
                 continue
@@ -205,11 +250,18 @@
     def rows_after(self, version: int) -> list:
         """Returns the rows that changed after a version of the table.
 
+        Rows whose known value is of a higher rank than that of the store are
+        among them.
+
         Args:
             version: Version of the table that the receiver holds, -1 for
                 none.
         """
-        return [row for row in self.rows.values() if row.version > version]
+        return [
+            row
+            for row in self.rows.values()
+            if row.version > version or row.key in self._kept_keys
+        ]
 
     def changes_since(self, revision: int) -> tuple[list, list] | None:
         """Returns the changes after a revision of this cache.
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -32,7 +32,11 @@
     def __init__(self, clock):
         self.book = deployment.UpstreamRegistry()
         self.configuration: deployment.Configuration | None = None
-        self.config_table = cluster.TableCache(platform.CONFIG_TABLE, clock)
+        self.config_table = cluster.TableCache(
+            platform.CONFIG_TABLE,
+            clock,
+            ranks={platform.CONFIG_KEY: platform.configuration_version},
+        )
         self.upstream_table = cluster.TableCache(
             platform.UPSTREAM_TABLE, clock, defers_removals=True
         )
--- a/plantainway/platform/__init__.py
+++ b/plantainway/platform/__init__.py
@@ -6,6 +6,7 @@
 from plantainway.platform._ingress import DirectoryServer
 from plantainway.platform._ingress import Ingress
 from plantainway.platform._ingress import StatusServer
+from plantainway.platform._messages import configuration_version
 from plantainway.platform._messages import decode_configuration
 from plantainway.platform._messages import decode_upstream
 from plantainway.platform._names import CONFIG_KEY
--- a/plantainway/platform/_messages.py
+++ b/plantainway/platform/_messages.py
@@ -143,6 +143,10 @@
     idle_ms: float = pydantic.Field(15000.0, alias='idleTimeoutMs')
 
 
+class _Version(_Body):
+    version: int
+
+
 class _Configuration(_Body):
     version: int
     routes: list[_Route]
@@ -234,6 +238,22 @@
     )
 
 
+def configuration_version(body: bytes) -> int:
+    """Returns the version of an operator's configuration.
+
+    Args:
+        body: Value of the row that holds it, as JSON.
+
+    Returns:
+        The version, -1 if the bytes have none.
+    """
+    try:
+        return _Version.model_validate_json(body).version
+    except pydantic.ValidationError as exc:
+        logs.event('configuration_invalid', 'ERROR', faults=exc.error_count())
+        return -1
+
+
 def _decode_membership(group, models) -> deployment.Membership | None:
     if group is None or group.state is deployment.GroupState.NONE:
         return None
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -108,3 +108,64 @@
             _reading(version, _row('c', b'x', version)), clock.now()
         )
     assert table.changes_since(1) is None
+
+
+def _batch(version, **values):
+    return _reading(
+        version, *(_row(key, value, version) for key, value in values.items())
+    )
+
+
+@pytest.fixture
+def ranked(clock):
+    """A cache whose row ``c`` is ranked by its length; ``x`` is not."""
+    found = cluster.TableCache('t', clock, ranks={'c': len})
+    found.apply_snapshot(_batch(5, c=b'9' * 9, x=b'x'), 0.0)
+    return found
+
+
+@pytest.mark.parametrize(
+    'rows, value, is_relayed',
+    [
+        ({'c': b'333'}, b'9' * 9, True),
+        ({'c': b''}, b'9' * 9, True),
+        ({}, b'9' * 9, True),
+        ({'c': b'8' * 9}, b'8' * 9, False),
+        ({'c': b'9' * 12}, b'9' * 12, False),
+    ],
+)
+def test_older_value_of_a_restored_store_replaces_no_newer_one(
+    ranked, rows, value, is_relayed
+):
+    """The newer one goes to nodes that have the table at the same version."""
+    ranked.apply_snapshot(_batch(8, **rows), 1.0)
+    assert ranked.rows['c'].value == value
+    assert ranked.version == 8
+    relayed = [row.key for row in ranked.rows_after(8)]
+    assert relayed == (['c'] if is_relayed else [])
+    if is_relayed:
+        changed, removed = ranked.changes_since(1)
+        assert [row.key for row in changed if row.key == 'c'] == ['c']
+        assert 'c' not in removed
+
+
+def test_relayed_value_of_a_higher_rank_replaces_one_of_the_same_version(
+    ranked, clock
+):
+    """A node that has just started reads the store before it is linked."""
+    later = cluster.TableCache('t', clock, ranks={'c': len})
+    later.apply_snapshot(_batch(8, c=b'333'), 0.0)
+    ranked.apply_snapshot(_batch(8, c=b'333'), 0.0)
+    relayed = stores.RowBatch(tuple(ranked.rows_after(8)), 8)
+    later.apply_snapshot(relayed, 1.0, list(ranked.rows))
+    assert later.rows['c'].value == b'9' * 9
+    ranked.apply_changes(_batch(9, c=b'9' * 9), 1.0)
+    assert ranked.rows_after(9) == []
+
+
+def test_rows_without_a_rank_follow_the_store(ranked):
+    """They are replaced and removed by version alone."""
+    ranked.apply_changes(_batch(8, x=b''), 1.0)
+    assert ranked.rows['x'].value == b''
+    ranked.apply_snapshot(_batch(9, c=b'9' * 9), 1.0)
+    assert 'x' not in ranked.rows
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -9,6 +9,9 @@
 from tests.platform import conftest
 
 
+CONFIG_APPLY_S = 2.0  # of the platform's rules
+
+
 @pytest.fixture
 async def nodes(store, runners):
     """Two nodes, the first of which leads; the copy is from before them."""
@@ -142,3 +145,69 @@
         ),
         'stored again',
     )
+
+
+async def _restore_twice(nodes, store, stack):
+    store.restore()
+    await asyncio.sleep(0.3)
+    store.restore()
+
+
+async def _restore_and_kill_leader(nodes, store, stack):
+    store.restore()
+    await asyncio.sleep(0.1)
+    await nodes.pop(0).close()
+
+
+async def _kill_leader_and_restore(nodes, store, stack):
+    await nodes.pop(0).close()
+    await asyncio.sleep(0.1)
+    store.restore()
+
+
+async def _restore_while_a_node_starts(nodes, store, stack):
+    store.restore()
+    later = await stack.enter_async_context(
+        conftest.running(conftest.settings('n3', store.address))
+    )
+    await conftest.until(later.is_ready, 'ready')
+    await conftest.until(
+        lambda: len(later.dump()['nodes']) == len(nodes) + 1, 'linked'
+    )
+    nodes.append(later)
+
+
+@pytest.mark.parametrize(
+    'happen',
+    [
+        _restore_twice,
+        _restore_and_kill_leader,
+        _kill_leader_and_restore,
+        _restore_while_a_node_starts,
+    ],
+)
+async def test_confirmed_configuration_stays_in_force_beside_a_restore(
+    nodes, store, client, happen
+):
+    """Until the operator writes it again, and a newer one after that."""
+    store.copy()
+    newer = conftest.configuration(version=9)
+    newer['routes'] = newer['routes'][1:]
+    store.put('op', 'config', newer)
+    await _until_configured(nodes, 9)
+    async with contextlib.AsyncExitStack() as stack:
+        nodes = list(nodes)
+        await happen(nodes, store, stack)
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            await _until_configured(nodes, 9)
+        for _check in range(20):
+            await asyncio.sleep(0.1)
+            assert {one.dump()['configuration'] for one in nodes} == {9}
+        store.put('op', 'config', newer)
+        await asyncio.sleep(0.2)
+        store.put('op', 'config', conftest.configuration(version=12))
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            await _until_configured(nodes, 12)
+        for one in nodes:
+            got = await conftest.send_request(client, one, '/safe/x')
+            assert got.status == 200
