Log silent streams; end a step of the demo that hangs

Evidence: the error, deadline_exceeded at step chat, is the node's, raised while it waits for a piece of its engine; the deadline is the default of 300 s, since the demo's client names none. Neither the drain nor the client waited.

--- a/plantainway/demo.py
+++ b/plantainway/demo.py
@@ -23,6 +23,7 @@
 WEIGHT_BYTES = 50_000_000
 WEIGHT_BYTES_PER_S = 100_000_000
 LONG_ANSWER_TOKENS = 150
+STEP_TIMEOUT_S = 60.0  # each step takes a few seconds
 BREACHES = ('double-run', 'half-group')
 
 
@@ -491,8 +492,16 @@
         await wait_for(streaming, 'a stream in progress')
         self._print_step(f'{name} told to stop with a stream in progress')
         stopping = asyncio.ensure_future(node.stop())
-        answer = await task
-        await stopping
+        try:
+            async with asyncio.timeout(STEP_TIMEOUT_S):
+                answer = await task
+                await stopping
+        except TimeoutError:
+            raise StepError(
+                f'{name} did not stop; {len(pieces)} pieces of its stream '
+                'had arrived',
+                'demo',
+            )
         del cluster.nodes[name]
         _require(
             answer.is_complete and not answer.resumes,
@@ -551,6 +560,8 @@
             return await Demo(cluster, breach).run()
         except errors.PlantainwayError as exc:
             _print(f'failed: {exc}')
+            for engine in cluster.fleet.engines.values():
+                _print(f'  {engine.describe()}')
             return False
         finally:
             with contextlib.suppress(errors.PlantainwayError):
--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -16,6 +16,7 @@
 
 ATTEMPTS_MAX = 4
 ANSWER_MAX_BYTES = 4 << 20
+SILENCE_LOG_S = 5.0  # a stream without a piece for longer is logged once
 _MS_PER_S = 1000
 
 
@@ -191,6 +192,39 @@
         return (self._last_at - self._first_at) / (self._count - 1)
 
 
+class _SilenceLog:
+    """Logs that an attempt has had no piece for ``SILENCE_LOG_S``.
+
+    Args:
+        inputs: Log keys that describe the attempt.
+    """
+
+    def __init__(self, **inputs):
+        self._inputs = inputs
+        self._loop = asyncio.get_running_loop()
+        self._timer = None
+        self.restart(0)
+
+    def restart(self, position: int) -> None:
+        """Waits anew, after a piece has arrived.
+
+        Args:
+            position: Position of the piece in the answer.
+        """
+        self.stop()
+        self._timer = self._loop.call_later(SILENCE_LOG_S, self._log, position)
+
+    def stop(self) -> None:
+        """Ends the waiting."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _log(self, position: int) -> None:
+        logs.event(
+            'stream_silent', 'WARNING', position=position, **self._inputs
+        )
+
+
 class _ChatExecution:
     """State of one chat request over all its attempts."""
 
@@ -291,6 +325,14 @@
         self._record_send(copy, attempt, resume)
         events = self._open_stream(copy, attempt, head, resume)
         gap = _InterTokenGap(self._parts.clock)
+        silence = _SilenceLog(
+            req=self._req.req_id,
+            attempt=attempt,
+            copy=copy.copy_id,
+            token=copy.token,
+            upstream=head,
+            resumed=resume is not None,
+        )
         try:
             async with (
                 asyncio.timeout_at(self._loop_deadline()),
@@ -302,6 +344,7 @@
                     self._position = validator.position
                     self._buffer(event)
                     gap.record_piece()
+                    silence.restart(self._position)
                     yield Piece(
                         EventId(
                             copy.copy_id,
@@ -323,6 +366,8 @@
             self._record_failure(exc, copy, attempt, head)
         except TimeoutError:
             self._cancel_expired(copy, attempt, head)
+        finally:
+            silence.stop()
 
     def _loop_deadline(self) -> float:
         left_s = self._req.deadline - self._parts.clock.now()
--- a/plantainway/standins/_engine.py
+++ b/plantainway/standins/_engine.py
@@ -232,6 +232,21 @@
         await self.faults.delay()
         return await handler(request)
 
+    def describe(self) -> str:
+        """Returns the state of the engine and its attempts in one line."""
+        attempts = ' '.join(
+            f'{name[:8]}:{attempt.generated}/{len(attempt.words)}'
+            f'{" complete" if attempt.is_complete else ""}'
+            f'{" aborted" if attempt.is_aborted else ""}'
+            for name, attempt in self._attempts.items()
+        )
+        return (
+            f'{self.vm} up={self.is_up} paused={self.is_paused} '
+            f'role={self.role} copy={self.copy_id} token={self.token} '
+            f'running={self._running} waiting={len(self._waiting)} '
+            f'attempts=[{attempts}]'
+        )
+
     def _reported_load(self) -> tuple[int, int]:
         now = time.monotonic()
         at, running, waiting = self._load_snapshot
