Hold back no share for the new leader itself, nor too much of later limits

What callers would see: a limited upstream gets less than it takes for 32 s after each change of the leader, and after nodes are lost for good.

Cause: a new leader counted every node of the last update as one that may use a share without being in touch, itself included, and it never hears of itself. Of a limit that is named after nodes were lost it held back twice the equal part for each, rounded up: 10 of 13 requests in 4 s for 5 of 15 nodes, all of it for 120 of 360.

Why this works: it leaves itself out, and holds back of later limits the equal quotas that those nodes use, by the same function.

--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -186,8 +186,9 @@
         self._leader_link = cluster.HubClient(
             view.tables, self._heartbeat, clock
         )
-        self._issuer = ratelimits.PermitIssuer(self._limits, clock)
+        self._issuer = ratelimits.PermitIssuer(cfg.node, self._limits, clock)
         self._limit_task = _permits.LimitTask(
+            cfg.node,
             self._limits,
             self._issuer,
             self._shares,
--- a/plantainway/edge/_permits.py
+++ b/plantainway/edge/_permits.py
@@ -81,6 +81,7 @@
         """Drops the limit of an upstream that no longer exists."""
         self._limits.forget(name)
         self._issuer.forget(name)
+        self._shares.forget(name)
 
 
 class LimitTask:
@@ -90,6 +91,7 @@
     their limits still hold.
 
     Args:
+        node: Name of this node.
         limits: The limits that upstreams have named.
         issuer: Issues permits while this node leads.
         shares: What this node may send while it hears of no leader.
@@ -102,8 +104,18 @@
     """
 
     def __init__(
-        self, limits, issuer, shares, leadership, link, ask, spawn, clock
+        self,
+        node,
+        limits,
+        issuer,
+        shares,
+        leadership,
+        link,
+        ask,
+        spawn,
+        clock,
     ):
+        self._node = node
         self._limits = limits
         self._issuer = issuer
         self._shares = shares
@@ -117,11 +129,9 @@
     def handle_acquired(self) -> None:
         """Starts to issue permits, as the leader."""
         self.update_touch(is_leader=False)
-        self._issuer.begin_term(
-            {info.node for info in self._link.nodes}
-            | set(self._link.absent_nodes),
-            self._shares.shares(),
-        )
+        others = {info.node for info in self._link.nodes}
+        others |= set(self._link.absent_nodes)
+        self._issuer.begin_term(others - {self._node}, self._shares.shares())
         self.update_touch(is_leader=True)
 
     def handle_heartbeat(self, beat, delay_s: float) -> None:
--- a/plantainway/ratelimits/_issuer.py
+++ b/plantainway/ratelimits/_issuer.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from plantainway.ratelimits import _shares
+from plantainway.ratelimits import _window
 
 BURST_S = 0.5  # an unused limit may be caught up with for this long
 NODE_TIMEOUT_S = 1.2  # a node without a heartbeat for longer keeps its share
@@ -31,13 +32,17 @@
     """Times at which one upstream may be sent a request.
 
     ``next_at`` is when the next permit would fall due if they were evenly
-    spaced; a permit may be issued up to ``BURST_S`` before that.
+    spaced; a permit may be issued up to ``BURST_S`` before that. ``limit`` is
+    what the upstream has named, ``per_second`` what is left of it without
+    what is held back, until ``update_at``.
     """
 
     def __init__(self, now: float):
         self.created_at = now
         self.next_at = now + BURST_S
+        self.limit = 0.0
         self.per_second = 0.0
+        self.update_at = float('-inf')
         self.issued: collections.deque = collections.deque()
 
     def set_rate(self, per_second: float, now: float) -> None:
@@ -69,11 +74,13 @@
     or can't do so any more.
 
     Args:
+        node: Name of this node.
         limits: The limits that upstreams have named.
         clock: Source of monotonic time.
     """
 
-    def __init__(self, limits, clock):
+    def __init__(self, node: str, limits, clock):
+        self._node = node
         self._limits = limits
         self._clock = clock
         self._schedules: dict[str, _Schedule] = {}
@@ -82,6 +89,7 @@
         self._unaccounted: set[str] = set()
         self._unaccounted_until = float('-inf')
         self._handed_over: collections.Counter = collections.Counter()
+        self._limited_at_start: frozenset = frozenset()
         self._update_at = float('-inf')
 
     def begin_term(self, nodes, own_shares: dict[str, int]) -> None:
@@ -97,6 +105,7 @@
         self._unaccounted = set(nodes)
         self._unaccounted_until = self._clock.now() + RESERVATION_TTL_S
         self._handed_over = collections.Counter(own_shares)
+        self._limited_at_start = frozenset(self._limits.in_force())
 
     def record_heard(self, node: str, shares: dict[str, int]) -> None:
         """Records a heartbeat of a node, which is in touch now.
@@ -155,26 +164,34 @@
             self._unaccounted.clear()
 
     def _held_back(self, upstream: str, per_second: float) -> int:
-        """Returns how much of a limit absent nodes may use in a window."""
+        """Returns how much of a limit absent nodes may use in a window.
+
+        Of a limit that has been named since they were lost they use equal
+        parts.
+        """
         if not self._silent and not self._unaccounted:
             return 0
-        node_count = (
-            len(self._heard_at)
-            + len(self._silent)
-            + len(self._unaccounted)
-            + 1
-        )
-        part = _shares.max_share(per_second, node_count)
-        count = sum(
-            min(shares.get(upstream, part), part)
-            for _until, shares in self._silent.values()
-        )
-        if self._unaccounted:
-            units = _shares.units(per_second)
+        units = _shares.units(per_second)
+        nodes = self._heard_at.keys() | self._silent.keys()
+        nodes |= self._unaccounted | {self._node}
+        largest = _shares.max_share(per_second, len(nodes))
+        count = 0
+        later = set()
+        for node, (_until, shares) in self._silent.items():
+            if upstream in shares:
+                count += min(shares[upstream], largest)
+            else:
+                later.add(node)
+        if upstream in self._limited_at_start:
             count += min(
-                len(self._unaccounted) * part,
+                len(self._unaccounted) * largest,
                 max(units - self._handed_over[upstream], 0),
             )
+        else:
+            later |= self._unaccounted
+        if later:
+            quotas = _window.equal_quotas(units, nodes)
+            count += sum(quotas[node] for node in later)
         return count
 
     def issue(self, node: str, upstreams, max_wait_s: float) -> Permit:
@@ -209,9 +226,12 @@
         schedule = self._schedules.get(name)
         if schedule is None:
             schedule = self._schedules[name] = _Schedule(now)
-        held_back = self._held_back(name, per_second)
-        rate = max(per_second - held_back / _shares.SHARE_WINDOW_S, 0.0)
-        schedule.set_rate(rate, now)
+        if now >= schedule.update_at or per_second != schedule.limit:
+            schedule.update_at = now + UPDATE_INTERVAL_S
+            schedule.limit = per_second
+            held_back = self._held_back(name, per_second)
+            rate = per_second - held_back / _shares.SHARE_WINDOW_S
+            schedule.set_rate(max(rate, 0.0), now)
         return schedule, schedule.wait_s(now)
 
     def forget(self, upstream: str) -> None:
--- a/plantainway/ratelimits/_shares.py
+++ b/plantainway/ratelimits/_shares.py
@@ -67,6 +67,15 @@
             window = self._sent[upstream] = _window.SlidingWindow(self._clock)
         window.add()
 
+    def forget(self, upstream: str) -> None:
+        """Drops what was sent to an upstream that no longer exists.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        self._sent.pop(upstream, None)
+        self._shares.pop(upstream, None)
+
     def update(self, is_in_touch: bool, nodes, heard_at: float) -> None:
         """Fixes the shares when touch with the leader is lost.
 
--- a/plantainway/ratelimits/_window.py
+++ b/plantainway/ratelimits/_window.py
@@ -40,19 +40,29 @@
         return max(self._used_at[0] + window_s - self._clock.now(), 0.0)
 
 
-def equal_quota(units: int, node: str, nodes) -> int:
-    """Returns a node's part of some units, 0 if it is not among the nodes.
+def equal_quotas(units: int, nodes) -> dict[str, int]:
+    """Returns the parts of some units by node.
 
     The parts are equal; the nodes that come first by name get one unit of
     the remainder each.
 
     Args:
         units: Number of units.
-        node: Name of the node.
-        nodes: Names of all nodes that share the units.
+        nodes: Names of the nodes, at least one.
     """
     names = sorted(nodes)
-    if node not in names:
-        return 0
     share, remainder = divmod(units, len(names))
-    return share + (names.index(node) < remainder)
+    return {
+        name: share + (index < remainder) for index, name in enumerate(names)
+    }
+
+
+def equal_quota(units: int, node: str, nodes) -> int:
+    """Returns a node's part of some units, 0 if it is not among the nodes.
+
+    Args:
+        units: Number of units.
+        node: Name of the node.
+        nodes: Names of all nodes that share the units.
+    """
+    return equal_quotas(units, nodes).get(node, 0) if nodes else 0
--- /dev/null
+++ b/tests/edge/test_permits.py
@@ -0,0 +1,157 @@
+"""Where a node gets its permits, and what a new leader holds back."""
+
+import types
+
+import pytest
+
+from plantainway import clock as clocks
+from plantainway import cluster
+from plantainway import deployment
+from plantainway.edge import _permits
+from plantainway import errors
+from plantainway import ratelimits
+from plantainway import traffic
+
+OTHERS = ('n2', 'n3')
+
+
+class Link:
+    """Fake link to a leader, whose reply a test sets."""
+
+    def __init__(self, clock):
+        self.is_receiving = True
+        self.last_update_at = clock.now()
+        self.update_delay_s = 0.0
+        self.absent_nodes = ['n4']
+        self.nodes = [
+            cluster.NodeInfo(name, '', 'a', 1.0, True)
+            for name in ('n1', *OTHERS)
+        ]
+        self.reply = ratelimits.Permit('', 0.3)
+
+    async def request_permit(self, upstreams, wait_s):
+        """Returns the reply, or raises it."""
+        if isinstance(self.reply, Exception):
+            raise self.reply
+        return self.reply
+
+
+class Harness:
+    """The permits of node ``n1``, with an upstream that takes 2 a second."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock()
+        self.limits = ratelimits.LimitBook(self.clock)
+        self.issuer = ratelimits.PermitIssuer('n1', self.limits, self.clock)
+        self.shares = ratelimits.KeptShares('n1', self.limits, self.clock)
+        self.link = Link(self.clock)
+        self.leads = False
+        leadership = types.SimpleNamespace(is_leader=lambda: self.leads)
+        self.asked = []
+        self.source = _permits.PermitSource(
+            'n1',
+            self.limits,
+            self.issuer,
+            self.shares,
+            leadership,
+            self.link,
+        )
+        self.task = _permits.LimitTask(
+            'n1',
+            self.limits,
+            self.issuer,
+            self.shares,
+            leadership,
+            self.link,
+            self.asked.append,
+            lambda _none: None,
+            self.clock,
+        )
+        self.upstream = deployment.Upstream('u', 's', '', 'a', 2, False)
+        self.limits.observe(self.upstream, 2.0)
+
+    async def acquire(self):
+        """Returns the upstream that may be sent a request, or the refusal."""
+        try:
+            found = await self.source.acquire([self.upstream], 0.0)
+        except errors.NotRunError as exc:
+            return exc
+        return found.name
+
+
+@pytest.fixture
+def harness():
+    """A follower that is in touch with its leader."""
+    return Harness()
+
+
+@pytest.mark.parametrize(
+    'reply, expected',
+    [
+        (ratelimits.Permit('u', 0.0), 'u'),
+        (ratelimits.Permit('u', 0.01), 'u'),
+        (ratelimits.Permit('', 0.3), 0.3),
+        (ratelimits.Permit('unknown', 0.0), 0.0),
+        (
+            errors.LeaderUnavailableError('late'),
+            _permits.LEADER_RETRY_AFTER_S,
+        ),
+    ],
+)
+async def test_follower_asks_its_leader(harness, reply, expected):
+    """Without a permit the request is refused with the time to the next."""
+    harness.link.reply = reply
+    found = await harness.acquire()
+    if isinstance(found, errors.NotRunError):
+        assert found.reason == traffic.REASON_LIMITED
+        found = found.retry_after_s
+    assert found == expected
+
+
+async def test_leader_issues_its_own_permits(harness):
+    """It counts among the nodes that use the limit."""
+    harness.leads = True
+    harness.link.nodes, harness.link.absent_nodes = [], []
+    harness.link.is_receiving = False
+    harness.task.handle_acquired()
+    assert await harness.acquire() == 'u'
+    assert (await harness.acquire()).retry_after_s == pytest.approx(0.5)
+
+
+async def test_node_without_a_leader_uses_its_share(harness):
+    """It sends no more than it did before."""
+    harness.link.reply = ratelimits.Permit('u', 0.0)
+    assert [await harness.acquire() for _ in range(2)] == ['u', 'u']
+    harness.link.is_receiving = False
+    harness.task.update_touch(is_leader=False)
+    refused = await harness.acquire()
+    assert refused.retry_after_s == pytest.approx(ratelimits.SHARE_WINDOW_S)
+    harness.clock.advance(ratelimits.SHARE_WINDOW_S)
+    assert [await harness.acquire() for _ in range(2)] == ['u', 'u']
+    assert isinstance(await harness.acquire(), errors.NotRunError)
+
+
+def test_new_leader_holds_back_for_all_nodes_but_itself(harness):
+    """Each is accounted for by its first heartbeat."""
+    harness.link.is_receiving = False
+    harness.task.handle_acquired()
+    assert harness.issuer.absent_nodes() == ['n2', 'n3', 'n4']
+    for name in (*OTHERS, 'n4'):
+        info = cluster.NodeInfo(name, '', 'a', 1.0, True)
+        harness.task.handle_heartbeat(
+            cluster.Heartbeat(info, {}, [], {}, shares={'u': 1}), 0.0
+        )
+    assert harness.issuer.absent_nodes() == []
+
+
+def test_upstreams_that_no_one_calls_are_asked(harness):
+    """Once a second, from two seconds after their last answer on."""
+    asked_at = []
+    for tick in range(40):
+        before = len(harness.asked)
+        harness.task._ask_unconfirmed()
+        if len(harness.asked) > before:
+            asked_at.append(round(tick * 0.1, 1))
+        harness.clock.advance(0.1)
+    assert harness.asked == ['u'] * len(asked_at)
+    assert len(asked_at) == 2 and asked_at[0] >= _permits.CONFIRM_AFTER_S
--- a/tests/ratelimits/test_issuer.py
+++ b/tests/ratelimits/test_issuer.py
@@ -9,6 +9,7 @@
 from plantainway import ratelimits
 from plantainway.ratelimits import _issuer
 from plantainway.ratelimits import _shares
+from plantainway.ratelimits import _window
 
 TICK_S = 0.05
 LEADER_LOST_S = 1.0  # until a node takes its leader for lost
@@ -52,7 +53,9 @@
         }
         self.leader = 'n000'
         self.elect_at = None
-        self.issuer = ratelimits.PermitIssuer(self.limits, self.clock)
+        self.issuer = ratelimits.PermitIssuer(
+            self.leader, self.limits, self.clock
+        )
         self.issuer.begin_term([], {})
         self.sent_at = []
         self.denied = 0
@@ -104,6 +107,7 @@
         node = self.nodes[name]
         self.leader = name
         others = set(self.nodes) | set(self.absent)
+        self.issuer = ratelimits.PermitIssuer(name, self.limits, self.clock)
         self.issuer.begin_term(others - {name}, node.shares.shares())
         node.is_linked, node.heard_at = True, now
         node.shares.update(True, self.nodes, now)
@@ -132,7 +136,6 @@
 
     def _lose_leader(self):
         self.absent = self.issuer.absent_nodes()
-        self.issuer = ratelimits.PermitIssuer(self.limits, self.clock)
         self.leader = None
         self.elect_at = self.clock.now() + ELECTION_S
 
@@ -211,6 +214,16 @@
     fleet.run(15.0, 30.0)
 
 
+def _limit_named_while_nodes_are_cut_off(fleet):
+    fleet.limits.forget('u')
+    fleet.issuer.forget('u')
+    for name in list(fleet.nodes)[3:10]:
+        fleet.cut(name, 20.0)
+    fleet.run(3.0, 0.0)
+    fleet.limits.observe(fleet.upstream, fleet.per_second)
+    fleet.run(15.0, 30.0)
+
+
 @pytest.mark.parametrize('per_second', [0.4, 2.0, 3.3, 12.0])
 @pytest.mark.parametrize(
     'happen',
@@ -223,6 +236,7 @@
         _cut_off_while_the_leader_changes,
         _store_away,
         _limit_named_without_a_leader,
+        _limit_named_while_nodes_are_cut_off,
     ],
     ids=lambda found: found.__name__.strip('_'),
 )
@@ -326,3 +340,18 @@
     assert fleet.issuer.issue('n0', ['u'], 0.0).wait_s > 1.0
     fleet.limits.observe(fleet.upstream, 10.0)
     assert fleet.issuer.issue('n0', ['u'], 0.2).upstream == 'u'
+
+
+@pytest.mark.parametrize('count', [15, 360])
+def test_lost_nodes_hold_back_no_more_than_their_part_of_a_later_limit(count):
+    """A limit that is named when a third of the nodes are lost for good."""
+    fleet = Fleet(12.0, count)
+    fleet.limits.forget('u')
+    for name in list(fleet.nodes)[-count // 3 :]:
+        fleet.kill(name, 100.0)
+    fleet.run(2.0, 0.0)
+    fleet.limits.observe(fleet.upstream, 12.0)
+    fleet.run(10.0, 60.0)
+    parts = _window.equal_quotas(_shares.units(12.0), fleet.nodes)
+    lost = sum(list(parts.values())[-count // 3 :])
+    assert len(fleet.sent_at) >= 0.9 * (12.0 - lost / WINDOW_S) * 10.0 - 1
