--- a/tests/ratelimits/test_issuer.py
+++ b/tests/ratelimits/test_issuer.py
@@ -347,6 +347,7 @@
     """A limit that is named when a third of the nodes are lost for good."""
     fleet = Fleet(12.0, count)
     fleet.limits.forget('u')
+    fleet.run(1.0, 0.0)
     for name in list(fleet.nodes)[-count // 3 :]:
         fleet.kill(name, 100.0)
     fleet.run(2.0, 0.0)
