--- a/tests/ratelimits/test_issuer.py
+++ b/tests/ratelimits/test_issuer.py
@@ -21,12 +21,13 @@
 
 
 class Node:
-    """One node: what it may send without a leader, and whether it is cut."""
+    """One node: what it may send without a leader, and when it is cut off."""
 
     def __init__(self, name, limits, clock):
         self.name = name
         self.shares = ratelimits.KeptShares(name, limits, clock)
         self.cut_until = 0.0
+        self.starts_at = 0.0
         self.heard_at = clock.now()
         self.is_linked = True
 
@@ -113,6 +114,8 @@
         node.shares.update(True, self.nodes, now)
 
     def _ask(self, node):
+        if self.clock.now() < node.starts_at:
+            return
         if node.is_linked:
             if not self._is_in_touch(node):
                 return  # the request times out
@@ -128,7 +131,9 @@
     def kill(self, name, seconds=1.0):
         """Ends a process; another one starts after some seconds."""
         self.nodes[name] = Node(name, self.limits, self.clock)
-        self.nodes[name].cut_until = self.clock.now() + seconds
+        starts_at = self.clock.now() + seconds
+        self.nodes[name].starts_at = starts_at
+        self.nodes[name].cut_until = starts_at
         self.nodes[name].is_linked = False
         self.issuer.record_lost(name)
         if name == self.leader:
