Name limits in the soak, and check what runners get

Runners, one or all of a service, name 3 requests a second for 4 to 9 s, beside all other faults. The checker counts what reaches each of them, by the rule of the platform (1.5 times the limit and 5 in 4 s, from 3 s on), with three more for each node that has started or woken up meanwhile. The limits are drawn apart, so seeds keep their other faults.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,10 @@
 
 SPACING_RANGE_S = (0.2, 1.2)
 DURATION_RANGE_S = (0.3, 2.5)
+LIMIT_SPACING_RANGE_S = (0.5, 3.0)
+LIMIT_DURATION_RANGE_S = (4.0, 9.0)
+LIMIT_PER_S = 3.0
+ALL_RUNNERS_EVERY = 3  # so many limits are named by all runners of a service
 LINK_MODES = (
     proxy.Mode.DELAY,
     proxy.Mode.RESET,
@@ -68,6 +72,24 @@
     return faults
 
 
+def draw_limits(rng, seconds: float) -> list[Fault]:
+    """Returns the limits that runners name in a run, in order of start.
+
+    They are drawn apart from the other faults, which a seed keeps.
+
+    Args:
+        rng: Random generator.
+        seconds: Length of the run.
+    """
+    found = []
+    at_s = rng.uniform(*LIMIT_SPACING_RANGE_S)
+    while at_s < seconds:
+        duration_s = rng.uniform(*LIMIT_DURATION_RANGE_S)
+        found.append(Fault(at_s, 'limit', rng.randrange(1000), duration_s))
+        at_s += rng.uniform(*LIMIT_SPACING_RANGE_S)
+    return found
+
+
 class FaultInjector:
     """Injects faults into a soak.
 
@@ -117,6 +139,7 @@
         if process.signal(signal.SIGSTOP):
             await asyncio.sleep(fault.duration_s)
             process.signal(signal.SIGCONT)
+            self._soak.record_node_start()
 
     async def _hup(self, fault) -> None:
         self._process(fault).signal(signal.SIGHUP)
@@ -155,3 +178,26 @@
 
     async def _publish(self, fault) -> None:
         self._soak.publish_configuration()
+
+    async def _limit(self, fault) -> None:
+        runners = list(self._soak.runners.values())
+        first = runners[fault.target % len(runners)]
+        limited = [first]
+        if fault.target % ALL_RUNNERS_EVERY == 0:
+            limited = [one for one in runners if one.service == first.service]
+        async with asyncio.TaskGroup() as group:
+            for runner in limited:
+                group.create_task(self._limit_one(runner, fault.duration_s))
+
+    async def _limit_one(self, runner, duration_s: float) -> None:
+        if runner.faults.rate_limit:
+            return
+        now = asyncio.get_running_loop().time
+        incarnation, began_at = runner.started_ms, now()
+        runner.faults.rate_limit = str(LIMIT_PER_S)
+        await asyncio.sleep(duration_s)
+        runner.faults.rate_limit = ''
+        if runner.started_ms == incarnation:
+            self._soak.checker.check_rate(
+                runner.name, LIMIT_PER_S, began_at, now()
+            )
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,6 +4,17 @@
 import dataclasses
 
 
+# Of the platform's rule on limits: it holds so long after a runner has named
+# one, for windows of so many seconds.
+LIMIT_STABLE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
+# The rule excuses a node that has just started or woken up.
+REQUESTS_PER_START = 3
+START_EXCUSED_S = 3.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Breach:
     """A broken promise and the observation that proves it."""
@@ -27,6 +38,8 @@
         self._at_most_once: set[str] = set()
         self._versions: dict[str, int] = {}
         self._ready: set[tuple[str, str, int]] = set()
+        self._arrivals: dict[str, list[float]] = {}
+        self._node_starts: list[float] = []
 
     def record_at_most_once(self, token: str) -> None:
         """Records a request that may run at most once.
@@ -125,6 +138,58 @@
         if head_serves:
             self._add_breach('one group', runner)
 
+    def record_arrival(self, runner: str, at: float) -> None:
+        """Records a request that a runner has not refused as misdirected.
+
+        Args:
+            runner: Name of the runner.
+            at: Seconds of the event loop.
+        """
+        self._arrivals.setdefault(runner, []).append(at)
+
+    def record_node_start(self, at: float) -> None:
+        """Records that a node process has started or goes on.
+
+        Args:
+            at: Seconds of the event loop.
+        """
+        self._node_starts.append(at)
+
+    def check_rate(
+        self, runner: str, limit: float, began_at: float, ended_at: float
+    ) -> None:
+        """Checks that a runner got no more requests than it takes.
+
+        Args:
+            runner: Name of the runner.
+            limit: Requests a second that it has named.
+            began_at: Seconds of the event loop from which it named them.
+            ended_at: Seconds until which it did.
+        """
+        times = [
+            at
+            for at in self._arrivals.get(runner, ())
+            if began_at + LIMIT_STABLE_S <= at < ended_at
+        ]
+        for first in times:
+            until = first + LIMIT_WINDOW_S
+            count = sum(first <= at < until for at in times)
+            starts = sum(
+                first - START_EXCUSED_S <= at < until
+                for at in self._node_starts
+            )
+            allowed = (
+                LIMIT_RATIO * limit * LIMIT_WINDOW_S
+                + LIMIT_SLACK
+                + REQUESTS_PER_START * starts
+            )
+            if count > allowed:
+                self._add_breach(
+                    'limits of upstreams',
+                    f'{runner}: {count} requests, {starts} starts of nodes',
+                )
+                return
+
     def check_stop(self, node: str, took_s: float, bound_s: float) -> None:
         """Checks how long a node took to stop.
 
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -138,7 +138,9 @@
             ('Request-Id', request_id),
             ('Server-Stamp', f'stamp-{self.name}'),
         ]
+        headers = self._named(headers)
         if self.service == 'plain':
+            self.checker.record_arrival(self.name, seen.at)
             self.checker.record_run(token)
             await asyncio.sleep(runner_standin.EVENT_S)
             runner_standin._send(writer, 200, headers, plain_body(token))
@@ -148,6 +150,7 @@
                 writer, 421, [('Instance-Id', self.name)], b''
             )
             return
+        self.checker.record_arrival(self.name, seen.at)
         self.checker.record_run(token)
         self.checker.check_group_run(
             self.members, self.group['name'], self.group['epoch'], MODEL_SIZE
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -33,6 +33,12 @@
     checker.check_version('n1', 4, 5)
 
 
+def _over_limit(checker):
+    for number in range(24):
+        checker.record_arrival('e1', 14.0 + number / 10)
+    checker.check_rate('e1', 3.0, 10.0, 20.0)
+
+
 def _short_group(checker):
     checker.record_ready('e1', 'g1', 1)
     checker.check_group_run(['e1'], 'g1', 1, 2)
@@ -57,6 +63,7 @@
         ('at most once', _two_runs),
         ('true refusal', _false_refusal),
         ('newest configuration', _older_version),
+        ('limits of upstreams', _over_limit),
         ('whole group', _short_group),
         ('whole group', _member_never_ready),
         ('one group', lambda b: b.check_join('e1', True)),
@@ -89,6 +96,13 @@
     for name in ('e1', 'e2'):
         checker.record_ready(name, 'g1', 1)
     checker.check_group_run(['e1', 'e2'], 'g1', 1, 2)
+    for number in range(26):  # the first three before the limit settles
+        checker.record_arrival('e1', 12.7 + number / 10)
+    checker.check_rate('e1', 3.0, 10.0, 20.0)
+    for number in range(24):  # beside the start of a node
+        checker.record_arrival('e2', 14.0 + number / 10)
+    checker.record_node_start(12.0)
+    checker.check_rate('e2', 3.0, 10.0, 20.0)
     checker.check_join('e1', False)
     checker.check_stop('n1', 4.9, 5.0)
     checker.check_recovery('safe', True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,7 @@
     """A seed always gives the same faults, and another seed others."""
     first, again, other = (
         faults.draw_faults(random.Random(s), 30.0)
+        + faults.draw_limits(random.Random(s), 30.0)
         for s in (seed, seed, seed + 1)
     )
     assert first == again != other
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -77,6 +77,7 @@
         directory: pathlib.Path,
         is_timed: bool = True,
     ):
+        self._seed = seed
         self._rng = random.Random(seed)
         self._directory = directory
         self._node_count = nodes
@@ -109,6 +110,7 @@
             ]
             await faults.FaultInjector(self).run(
                 faults.draw_faults(self._rng, seconds)
+                + faults.draw_limits(random.Random(self._seed), seconds)
             )
             self._stopping = True
             await asyncio.gather(*caller_tasks)
@@ -188,6 +190,11 @@
         async with process.restart_lock:
             if process.proc.returncode is not None:
                 await process.start()
+                self.record_node_start()
+
+    def record_node_start(self) -> None:
+        """Tells the checker that a node has started or goes on."""
+        self.checker.record_node_start(asyncio.get_running_loop().time())
 
     async def crash_runner(self, runner, duration_s: float) -> None:
         """Crashes a runner and restarts it with empty state.
