Prefer suspect heads to a refusal when all others are limited

What callers would see: 503 while an upstream without a limit has room.

Evidence: test_upstream_without_a_limit_serves_what_others_can_not (streams) failed once beside load, with 503 among its statuses. The head without a limit had a stalled stream and was suspect for 0.6 s; suspect and ejected heads are left out as long as there are others, and the others were limited.

Why this works: a head that may have stalled is tried before a request is refused, as it was already when there was no other head at all; the same for ejected upstreams of plain services. Requests go to limited ones with a permit first. A test of both kinds fails on the code before.

Three tests of platform nodes share their fixture of three nodes.

--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -67,18 +67,21 @@
             model: Name of the model.
             excluded_heads: Names of heads that already had the request.
         """
-        heads = [
-            item
-            for item in self._upstreams.find_open_heads(service, model)
-            if item.name not in excluded_heads
-            and self._closed_memberships.get(item.name) != item.membership
-        ]
+        heads = self._open_heads(service, model, excluded_heads)
         heads = self._health.exclude_ejected(heads)
         unsuspected = [
             item for item in heads if not self._stalls.is_suspect(item.name)
         ]
         return unsuspected or heads
 
+    def _open_heads(self, service: str, model: str, excluded_heads) -> list:
+        return [
+            item
+            for item in self._upstreams.find_open_heads(service, model)
+            if item.name not in excluded_heads
+            and self._closed_memberships.get(item.name) != item.membership
+        ]
+
     def _max_load(self, head) -> int:
         return head.slots + MAX_QUEUED_PER_GROUP
 
@@ -200,6 +203,18 @@
             )
         return self._rates.split(heads)
 
+    def _try_reserve_avoided(
+        self, service, model, excluded_heads
+    ) -> Reservation | None:
+        """Reserves capacity at an ejected or suspect head without a limit.
+
+        Returns:
+            The reservation, ``None`` if there is none with capacity.
+        """
+        heads = self._open_heads(service, model, excluded_heads)
+        unlimited, _limited = self._rates.split(heads)
+        return self._try_reserve_among(unlimited, service, model)
+
     async def _try_reserve_limited(
         self, unlimited, limited, service, model
     ) -> Reservation | None:
@@ -293,7 +308,12 @@
                 return await self._reserve_limited(service, model, entry)
             except errors.NotRunError:
                 if not unlimited:
-                    raise
+                    reservation = self._try_reserve_avoided(
+                        service, model, entry.excluded_heads
+                    )
+                    if reservation is None:
+                        raise
+                    return reservation
         try:
             return await self._reserve_queued(queue, entry)
         except errors.NotRunError as exc:
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -30,16 +30,19 @@
         self._deps = deps
         self._rotations: collections.Counter = collections.Counter()
 
-    async def _choose_upstream(self, service: str, candidates, wait_until):
+    async def _choose_upstream(
+        self, service: str, candidates, tried_names, wait_until
+    ):
         """Returns the upstream with the fewest requests of all nodes.
 
         Equally loaded ones are used in turn. One that limits its rate is
         returned only with a permit, for which the request waits if there are
-        no others.
+        no others. Without one, ejected upstreams are better than none.
 
         Args:
             service: Name of the service.
             candidates: Upstreams to choose from, at least one.
+            tried_names: Names of upstreams that had the request.
             wait_until: Monotonic seconds until which the request can wait.
 
         Raises:
@@ -51,22 +54,30 @@
         if chosen in unlimited:
             return chosen
         if not unlimited:
-            return await deps.rates.acquire(
-                limited, max(wait_until - deps.clock.now(), 0.0)
-            )
+            try:
+                return await deps.rates.acquire(
+                    limited, max(wait_until - deps.clock.now(), 0.0)
+                )
+            except errors.NotRunError:
+                active = self._active(service, tried_names)
+                ejected, _limited = deps.rates.split(active)
+                if not ejected:
+                    raise
+                return self._least_loaded(service, ejected)
         permitted = await deps.rates.try_acquire(service, limited)
         return permitted or self._least_loaded(service, unlimited)
 
     def _candidates(self, service: str, tried_names) -> list:
+        active = self._active(service, tried_names)
+        return self._deps.health.exclude_ejected(active)
+
+    def _active(self, service: str, tried_names) -> list:
         """Returns upstreams that were not tried and are not draining."""
-        deps = self._deps
-        active = [
+        return [
             item
-            for item in deps.upstreams.find_by_service(service)
-            if not item.draining
+            for item in self._deps.upstreams.find_by_service(service)
+            if not item.draining and item.name not in tried_names
         ]
-        candidates = [item for item in active if item.name not in tried_names]
-        return deps.health.exclude_ejected(candidates)
 
     def _least_loaded(self, service: str, candidates):
         deps = self._deps
@@ -122,7 +133,7 @@
                 break
             try:
                 upstream = await self._choose_upstream(
-                    service, candidates, wait_until
+                    service, candidates, tried_names, wait_until
                 )
             except errors.NotRunError as exc:
                 refused = exc
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -151,6 +151,34 @@
     await found.close()
 
 
+async def until_linked(nodes) -> None:
+    """Waits until nodes are ready and know of one another.
+
+    Args:
+        nodes: All running nodes.
+    """
+    for one in nodes:
+        await until(one.is_ready, 'ready')
+        await until(
+            lambda one=one: len(one.dump()['nodes']) == len(nodes), 'linked'
+        )
+
+
+@pytest.fixture
+async def three_nodes(store, runners, node):
+    """Three nodes that know of one another, the first of which leads."""
+    async with contextlib.AsyncExitStack() as stack:
+        others = [
+            await stack.enter_async_context(
+                running(settings(name, store.address))
+            )
+            for name in ('n2', 'n3')
+        ]
+        found = [node, *others]
+        await until_linked(found)
+        yield found
+
+
 @pytest.fixture
 async def client():
     """An HTTP session that does not decompress bodies."""
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -1,7 +1,6 @@
 """Tests of requests that crash each engine that begins to answer them."""
 
 import asyncio
-import contextlib
 import itertools
 
 import pytest
@@ -22,28 +21,11 @@
 
 
 @pytest.fixture
-async def nodes(store, runners, node):
+def nodes(three_nodes, runners):
     """Three nodes, the first of which leads; engines that can crash."""
     for runner in runners.values():
         runner.faults.crash_part = CRASH_PART
-    async with contextlib.AsyncExitStack() as stack:
-        others = [
-            await stack.enter_async_context(
-                conftest.running(conftest.settings(name, store.address))
-            )
-            for name in ('n2', 'n3')
-        ]
-        found = [node, *others]
-        await _until_ready(found)
-        yield found
-
-
-async def _until_ready(nodes):
-    for one in nodes:
-        await conftest.until(one.is_ready, 'ready')
-        await conftest.until(
-            lambda one=one: len(one.dump()['nodes']) == len(nodes), 'linked'
-        )
+    return three_nodes
 
 
 class Callers:
@@ -158,7 +140,7 @@
         conftest.settings('n3', store.address)
     ) as again:
         members = [*nodes[:2], again]
-        await _until_ready(members)
+        await conftest.until_linked(members)
         await asyncio.sleep(STABLE_S)
         await callers.assert_refused(members, callers.arrivals())
 
@@ -197,7 +179,7 @@
         await conftest.until(
             lambda: any(one.dump()['leads'] for one in members), 'leader'
         )
-        await _until_ready(members)
+        await conftest.until_linked(members)
         await asyncio.sleep(STABLE_S)
         await callers.assert_refused(members, callers.arrivals())
 
@@ -216,7 +198,7 @@
     try:
         for one in again:
             await one.start()
-        await _until_ready(again)
+        await conftest.until_linked(again)
         await asyncio.sleep(STABLE_S)
         await callers.assert_refused(again, callers.arrivals())
     finally:
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -1,7 +1,6 @@
 """Tests of upstreams that name how many requests a second they take."""
 
 import asyncio
-import contextlib
 import itertools
 
 import aiohttp
@@ -22,27 +21,9 @@
 
 
 @pytest.fixture
-async def nodes(store, runners, node):
+def nodes(three_nodes):
     """Three nodes, the first of which leads."""
-    async with contextlib.AsyncExitStack() as stack:
-        others = [
-            await stack.enter_async_context(
-                conftest.running(conftest.settings(name, store.address))
-            )
-            for name in ('n2', 'n3')
-        ]
-        found = [node, *others]
-        await until_linked(found)
-        yield found
-
-
-async def until_linked(nodes):
-    """Waits until nodes are ready and know of one another."""
-    for one in nodes:
-        await conftest.until(one.is_ready, 'ready')
-        await conftest.until(
-            lambda one=one: len(one.dump()['nodes']) == len(nodes), 'linked'
-        )
+    return three_nodes
 
 
 class Load:
--- a/tests/traffic/test_heads.py
+++ b/tests/traffic/test_heads.py
@@ -224,3 +224,16 @@
     harness.pool.release(reservation)
     assert (await waiting).head.name == 'h0'
     assert harness.permits.left == {'h0': 0}
+
+
+@pytest.mark.parametrize('avoid', ['suspect', 'ejected'])
+async def test_suspect_heads_serve_what_limited_ones_can_not(avoid):
+    """A head that may have stalled is better than a refusal."""
+    harness = PoolHarness(_head('h0'), _head('h1', epoch=2))
+    harness.permits.left = {'h0': 1}
+    if avoid == 'suspect':
+        harness.stalls.mark_suspect('h1')
+    else:
+        harness.health.record_failure('h1', eject_now=True)
+    heads = [(await harness.reserve()).head.name for _request in range(3)]
+    assert heads == ['h0', 'h1', 'h1']
