Drop what a node sent to limited upstreams before the last window

What callers would see: nothing for hours; a node that sends to an upstream which stays limited kept the time of each request until it lost its leader.

Evidence: found by reading; after 1000 requests in 1000 s the window held 1000 entries. The times are dropped with each request now, as the test checks.

--- a/plantainway/ratelimits/_shares.py
+++ b/plantainway/ratelimits/_shares.py
@@ -65,6 +65,7 @@
         window = self._sent.get(upstream)
         if window is None:
             window = self._sent[upstream] = _window.SlidingWindow(self._clock)
+        window.count(SHARE_WINDOW_S)  # drops what is older
         window.add()
 
     def forget(self, upstream: str) -> None:
--- a/tests/ratelimits/test_issuer.py
+++ b/tests/ratelimits/test_issuer.py
@@ -361,3 +361,13 @@
     parts = _window.equal_quotas(_shares.units(12.0), fleet.nodes)
     lost = sum(list(parts.values())[-count // 3 :])
     assert len(fleet.sent_at) >= 0.9 * (12.0 - lost / WINDOW_S) * 10.0 - 1
+
+
+def test_node_keeps_no_more_than_a_window_of_what_it_sent():
+    """However long an upstream has been limited."""
+    fleet = Fleet(2.0, 1)
+    shares = fleet.nodes['n000'].shares
+    for _request in range(1000):
+        shares.record_sent('u')
+        fleet.clock.advance(1.0)
+    assert len(shares._sent['u']._used_at) <= _shares.SHARE_WINDOW_S + 1
