Answer requests that were read before a node stops to accept any

Cause: at the end of accepting, connections without a running handler are closed as idle. The handler of a request that has just been read begins some rounds of the event loop later, so its connection counted as idle; it then ran for nobody.

Why this works: connections are told to close after their request, handlers of requests that were read get 20 ms to begin, and only then are idle connections closed. A request whose connection is closed already is not passed on.

The mutant of the new guard has not been run to its end.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -668,6 +668,13 @@
         'if row.version > version',
         'tests/cluster/test_follower.py',
     ),
+    Mutant(
+        'handlers of requests that were read begin before a stop',
+        'plantainway/platform/_ingress.py',
+        '        await asyncio.sleep(READ_REQUESTS_BEGIN_S)\n',
+        '',
+        'tests/platform/test_ingress_stop.py',
+    ),
     Mutant(
         'later answer holds, not the one that arrives later',
         'plantainway/ratelimits/_book.py',
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -11,6 +11,7 @@
 from plantainway import traffic
 
 DEFAULT_DEADLINE_MS = 30000.0  # for requests without a deadline
+READ_REQUESTS_BEGIN_S = 0.02  # some rounds of the event loop
 KEEPALIVE_TIMEOUT_S = 75.0  # longer than the clients' own
 PROMPT_PARTS_MAX = 64  # of one request; their ids are kept and sent around
 PART_ID_CHARS_MAX = 64
@@ -120,8 +121,12 @@
         after the answer.
         """
         self._listener.close()
-        for handler in list(self._server.connections):
+        handlers = list(self._server.connections)
+        for handler in handlers:
             handler.close()
+        # Until then the handlers of requests that were read before have begun.
+        await asyncio.sleep(READ_REQUESTS_BEGIN_S)
+        for handler in handlers:
             # An idle connection stays open after that, and its requests
             # would be read and dropped.
             is_sending = (
@@ -141,6 +146,9 @@
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
         handler = http_request.protocol
+        if handler.transport is None or handler.transport.is_closing():
+            # Nobody gets the answer, so the request must not run.
+            return web.Response(status=503)
         self._busy_handlers.add(handler)
         try:
             return await self._serve_request(http_request)
