Abort links to silent nodes when a leading node stops

Cause: the hub closes its links with a closing handshake, for whose answer the library waits 10 s. A paused or cut off node doesn't answer, and the process cancels and awaits all handlers before it ends. Ruled out, each a row of the new test that passed before: a silent store, requests and links read in part on every listener, a request that its upstream doesn't answer.

The answer is awaited for 0.25 s, and the end of the hub is awaited before the sessions are closed. The row _silent_peer-True failed before. process_ending is the last line of a process. The soak's proxy closes its connections, which raised warnings.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -388,6 +388,13 @@
         'True',
         'tests/cluster/test_hub.py',
     ),
+    Mutant(
+        'links to nodes that do not answer are aborted on a stop',
+        'plantainway/cluster/_hub.py',
+        'close_timeout=CLOSE_TIMEOUT_S,',
+        'close_timeout=10.0,',
+        'tests/platform/test_node_processes.py',
+    ),
     Mutant(
         'rows that were delayed on the way are not taken for current',
         'plantainway/cluster/_hub.py',
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -33,6 +33,7 @@
 # answers that node.
 AGE_GAP_MIN_S = 0.8
 CLOSE_NOT_LEADER = 1013  # WebSocket close code "try again later"
+CLOSE_TIMEOUT_S = 0.25  # for a node's answer when a link is closed
 
 
 class _NodeLink:
@@ -185,15 +186,23 @@
             int(port),
             compression=None,
             ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_S,
             max_size=_messages.MESSAGE_BYTES_MAX,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
     async def close(self) -> None:
-        """Stops listening and closes all links."""
+        """Stops listening and closes all links.
+
+        Links to nodes that do not answer are aborted after
+        ``CLOSE_TIMEOUT_S``.
+        """
         if self._server is not None:
             self._server.close()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(2 * CLOSE_TIMEOUT_S):
+                    await self._server.wait_closed()
 
     def _wake_links(self, _changed, _removed) -> None:
         self._encoded_updates = None
--- a/plantainway/edge/_service.py
+++ b/plantainway/edge/_service.py
@@ -48,3 +48,4 @@
         shutdown_timeout=cfg.bounds.stop_s,
     ) as loop:
         loop.run_forever()
+    logs.event('process_ending', node=cfg.node)
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -11,7 +11,9 @@
 from tests.platform import conftest
 from tests.platform import processes
 from tests.platform import runner_standin
+from tests.soak import proxy
 
+STOP_S = 4.0  # from SIGTERM to SIGKILL
 STREAM = {'Model': 'm0', 'Token_Count': '10,10', 'method': 'POST'}
 
 
@@ -120,6 +122,95 @@
     assert first.has_logged('node_stopped')
 
 
+@contextlib.asynccontextmanager
+async def _silent_peer(_leaving, other, _link, _runners):
+    other.proc.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        other.proc.send_signal(signal.SIGCONT)
+
+
+@contextlib.asynccontextmanager
+async def _silent_store(_leaving, _other, link, _runners):
+    link.set_mode(proxy.Mode.SILENT)
+    yield
+
+
+@contextlib.asynccontextmanager
+async def _half_read_requests(leaving, _other, _link, _runners):
+    async with contextlib.AsyncExitStack() as stack:
+        for address in leaving.addresses.values():
+            host, _, port = address.rpartition(':')
+            _reader, writer = await asyncio.open_connection(host, int(port))
+            stack.callback(writer.close)
+            writer.write(
+                b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx'
+            )
+        yield
+
+
+@contextlib.asynccontextmanager
+async def _unanswered_request(leaving, _other, _link, runners):
+    for runner in runners.values():
+        runner.faults.answer = 'hang'
+    host, _, port = leaving.addresses['caller'].rpartition(':')
+    _reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b'GET /open/x HTTP/1.1\r\nHost: h.example\r\n'
+        b'Deadline-Ms: 60000\r\n\r\n'
+    )
+    await conftest.until(
+        lambda: any(runner.seen for runner in runners.values()), 'sent'
+    )
+    try:
+        yield
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize('leads', [True, False])
+@pytest.mark.parametrize(
+    'obstacle',
+    [_silent_peer, _silent_store, _half_read_requests, _unanswered_request],
+)
+async def test_node_exits_before_it_is_killed(
+    store, runners, tmp_path, obstacle, leads
+):
+    """It exits with status 0, which it does not once its time has run out."""
+    link = proxy.Proxy(store.address)
+    address = await link.start()
+    nodes = [
+        processes.Process(
+            conftest.settings(name, address, stop_s=STOP_S),
+            tmp_path / f'{name}.json',
+        )
+        for name in ('n1', 'n2')
+    ]
+    try:
+        for node in nodes:
+            await node.start()
+        await conftest.until(
+            lambda: any(node.has_logged('leader_linked') for node in nodes),
+            'link',
+        )
+        nodes.sort(key=lambda one: leads ^ one.has_logged('leadership_taken'))
+        leaving, other = nodes
+        await conftest.until(
+            lambda: len(conftest.open_heads(runners)) == 2, 'groups'
+        )
+        async with obstacle(leaving, other, link, runners):
+            leaving.proc.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(conftest.WAIT_S):
+                status = await leaving.proc.wait()
+            assert status == 0
+            assert leaving.has_logged('process_ending')
+    finally:
+        for node in nodes:
+            await node.stop()
+        await link.stop()
+
+
 async def test_sighup_during_the_start_does_not_end_the_node(store, tmp_path):
     """A node that is told to reload before it has read its settings starts."""
     process = processes.Process(
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -89,9 +89,11 @@
                 self._pump(reader, other, Mode.CUT_TO),
                 self._pump(other_reader, writer, Mode.CUT_FROM),
             )
+            other.close()
         except (ConnectionError, OSError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
+            writer.close()
             self._tasks.discard(task)
 
     async def _pump(self, reader, writer, cut: Mode) -> None:
