Trust no refusal that may not be that of this attempt

Reported by operators of similar systems: a runner wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran, or such a request ran at a second runner.

It could happen here. A node compared the Request-Id of an answer only if there was one, and sent a request that a runner had refused to it again on the same connection, where a late copy of the refusal names the right request. Five of the six new rows of test_node_requests were red: 503 for requests that had run up to four times. (The unsafe row with a copy passed: unsafe requests have connections of their own.)

Cause: whatever arrives next on a connection was taken for the answer. Now a refusal counts only if it names its request; a request goes to an upstream again on a new connection; and a second refusal with one id on a connection fails the attempt, which then counts as a run. The stand-in now names requests as well.

The same class: on an idle connection all answers that arrived were kept until the next request, without a bound. Now anything after a final answer ends the connection.

--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -72,7 +72,7 @@
     if not connection_per_request:
         options = {'keepalive_timeout': KEEPALIVE_TIMEOUT_S}
     session = aiohttp.ClientSession(
-        connector=_connections.BoundedConnector(
+        connector=_connections.StrictConnector(
             limit=0, socket_factory=_open_socket, **options
         ),
         auto_decompress=False,
@@ -234,7 +234,13 @@
                 upstream.name,
             )
         self._handle_answer(upstream, resp)
-        return RunnerResponse(resp, upstream.name)
+        found = RunnerResponse(resp, upstream.name)
+        if found.not_run and req.request_id and echoed is None:
+            resp.close()
+            raise errors.UpstreamError(
+                'refusal without the Request-Id', 'request', upstream.name
+            )
+        return found
 
     def _headers(self, attempt, remaining_ms) -> multidict.CIMultiDict:
         req = attempt.request
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -109,6 +109,7 @@
         deps = self._deps
         deadline = min(req.deadline, req.arrived_at + route.timeout_ms / 1000)
         tried_names = set()
+        sent_names = set()
         runs = 0
         last_response = None
         refused = None
@@ -139,10 +140,21 @@
                 refused = exc
                 break
             is_last = runs + 1 >= route.max_attempts
-            result = await self._run_attempt(
-                req, route, upstream, account, deadline, is_last, sends > 0
+            attempt = _types.Attempt(
+                req,
+                upstream,
+                account,
+                deadline,
+                priority=route.priority,
+                use_new_connection=(
+                    route.kind is deployment.RouteKind.UNSAFE
+                    or upstream.name in sent_names
+                ),
+                is_repeated=sends > 0,
             )
+            result = await self._run_attempt(attempt, route, is_last)
             tried_names.add(upstream.name)
+            sent_names.add(upstream.name)
             if result.response is not None and not result.is_server_error:
                 return result.response
             runs += result.may_have_run
@@ -183,25 +195,17 @@
             BAD_GATEWAY, reason='outcome unknown, request may have run'
         )
 
-    async def _run_attempt(
-        self, req, route, upstream, account, deadline, is_last, is_repeated
-    ):
+    async def _run_attempt(self, attempt, route, is_last: bool):
         deps = self._deps
+        req, upstream = attempt.request, attempt.upstream
         is_unsafe = route.kind is deployment.RouteKind.UNSAFE
-        attempt = _types.Attempt(
-            req,
-            upstream,
-            account,
-            deadline,
-            priority=route.priority,
-            use_new_connection=is_unsafe,
-            is_repeated=is_repeated,
-        )
         deps.loads.increment(upstream.name)
         upstream_response = None
         try:
             async with asyncio.timeout(
-                self._attempt_timeout_s(route, deadline, is_unsafe, is_last)
+                self._attempt_timeout_s(
+                    route, attempt.deadline, is_unsafe, is_last
+                )
             ):
                 upstream_response = await deps.send(attempt)
                 if upstream_response.not_run:
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -58,6 +58,7 @@
     runs: int = 0
     sends: int = 0
     excluded_heads: set = dataclasses.field(default_factory=set)
+    sent_heads: set = dataclasses.field(default_factory=set)
     last_event_at: float = 0.0
     error_response: _types.Response | None = None
     reason: str = ''
@@ -280,8 +281,10 @@
                 else min(PRIORITY_NEW_STREAM + state.priority, 9)
             ),
             last_event_id=state.last_event_id,
+            use_new_connection=head.name in state.sent_heads,
             is_repeated=state.sends > 1,
         )
+        state.sent_heads.add(head.name)
         stall_timer = None
         evidence = quarantine.RunEvidence(
             deps.evidence, state.req.shared_parts
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -68,7 +68,8 @@
 
     ``deadline`` is in monotonic seconds; ``priority`` is sent to the engine,
     which runs lower ones first. ``use_new_connection`` avoids pooled
-    connections, which the upstream may have closed already. ``is_repeated``
+    connections, which the upstream may have closed already, or on which a
+    late copy of its answer to an earlier attempt may arrive. ``is_repeated``
     tells whether the request was sent to an upstream before.
     """
 
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -68,6 +68,10 @@
     - ``truncated``: a body shorter than its Content-Length;
     - ``other_id``: the Request-Id of another request;
     - ``not_run``: a refusal with Not-Executed;
+    - ``unnamed_refusal``: such a refusal without Request-Id, although the
+      request runs;
+    - ``refusal_again``: one refusal, and on its connection a copy of it with
+      the id of the next request, which runs; then complete answers;
     - ``error``: status 500;
     - ``error_truncated``: status 500 with a truncated body;
     - ``reset``: a connection reset before any answer;
@@ -121,6 +125,8 @@
         self.group: dict | None = None
         self.seq = 0
         self.seen: list[ReceivedRequest] = []
+        self.ran: list[str] = []  # ids of requests that a refusal denies
+        self._refusals: list = []
         self.orders: list[dict] = []
         self.newest_epoch = 0
         self.body = b'the answer of ' + name.encode()
@@ -228,8 +234,10 @@
             return
         expected = headers.get('expect-instance', self.name)
         if expected != self.name:
-            headers = self._named([('Instance-Id', self.name)])
-            _send(writer, 421, headers, b'')
+            names = [('Instance-Id', self.name)]
+            if 'request-id' in headers:
+                names.append(('Request-Id', headers['request-id']))
+            _send(writer, 421, self._named(names), b'')
             return
         if target == '/plantainway/order':
             status = self._order(json.loads(body))
@@ -313,7 +321,18 @@
             broken.remaining -= 1
             await self._send_broken(writer, seen, headers, broken)
         elif answer_mode == 'not_run':
+            self._refuse(writer, request_id)
+        elif answer_mode == 'unnamed_refusal':
             _send(writer, 503, self._named([('Not-Executed', '1')]), b'')
+            self.ran.append(request_id)
+        elif answer_mode == 'refusal_again' and not self._refusals:
+            self._refuse(writer, request_id)
+            self._refusals.append(writer)
+        elif answer_mode == 'refusal_again' and writer in self._refusals:
+            self.ran.append(request_id)
+            self._refuse(writer, request_id)
+            await asyncio.sleep(EVENT_S)
+            _send(writer, 200, headers, self.body)
         elif answer_mode == 'error':
             _send(writer, 500, headers, b'failed')
         elif answer_mode == 'error_truncated':
@@ -354,6 +373,10 @@
             _reset(writer)
             raise _Closed
 
+    def _refuse(self, writer, request_id: str) -> None:
+        headers = [('Request-Id', request_id), ('Not-Executed', '1')]
+        _send(writer, 503, self._named(headers), b'')
+
     async def _send_broken(self, writer, seen, headers, broken) -> None:
         whole, sent = self.body, {'before': 0, 'inside': 5}.get(broken.cut)
         if self.model and broken.status == 200:
@@ -395,7 +418,7 @@
         status, filler = _ENDLESS[mode]
         if status:
             if mode == 'endless_refusal':
-                headers = [('Not-Executed', '1')]
+                headers = [headers[0], ('Not-Executed', '1')]
             _send(writer, status, headers, b'', framed=False)
         elif mode in ('endless_field', 'endless_fields'):
             writer.write(b'HTTP/1.1 200 OK\r\nX: y')
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -223,6 +223,20 @@
     )
 
 
+@pytest.mark.parametrize('answer_mode', ['unnamed_refusal', 'refusal_again'])
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/once/x'])
+async def test_request_that_runs_despite_a_refusal_is_not_denied_or_repeated(
+    node, runners, client, path, answer_mode
+):
+    """A refusal that can't be that of this attempt proves nothing."""
+    for runner in runners.values():
+        runner.faults.answer = answer_mode
+    got = await conftest.send_request(client, node, path, **STREAM)
+    ran = [one for runner in runners.values() for one in runner.ran]
+    assert got.status != 503 or not ran
+    assert path == '/safe/x' or len(ran) <= 1
+
+
 @pytest.mark.parametrize(
     'path, answer_mode, runs',
     [
