Log how leadership ended and from whom it was taken over

test_killed_node_is_replaced once found term 3 where 2 is expected, beside load, and its output did not tell which node had let the lease go. A lapse between two steps of the election task was not logged at all.

leadership_lost is now logged however it came about, with the time since the last renewal that was written and by how much the next one was overdue, which tells a late loop from a store that didn't answer. leadership_taken names the previous holder, its term and its renewals. The test keeps its bound and prints these lines of both nodes when it fails.

--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -60,12 +60,14 @@
         self._link_task: asyncio.Task | None = None
         self.address = ''
         self._is_leaving = False
+        self._led_term: int | None = None
         self.on_renewal_attempt = []
         self.on_acquired = []
 
     async def run(self) -> None:
         """Leads or follows until cancelled."""
         while True:
+            self._record_leadership()
             try:
                 if self._leadership.is_leader():
                     await self._renew()
@@ -75,6 +77,23 @@
                 logs.event('lease_unreadable', reason=exc.message)
             await asyncio.sleep(TICK_S)
 
+    def _record_leadership(self) -> None:
+        """Logs that this node leads no more, however it came about."""
+        if self._leadership.is_leader():
+            self._led_term = self._leadership.term
+        elif self._led_term is not None:
+            logs.event(
+                'leadership_lost',
+                term=self._led_term,
+                since_renewal_ms=int(
+                    (self._clock.now() - self._renewed_at) * 1000
+                ),
+                renewal_due_ms=int(
+                    (self._clock.now() - self._renew_at) * 1000
+                ),
+            )
+            self._led_term = None
+
     def _is_following(self) -> bool:
         """Returns whether a leader sends this node updates.
 
@@ -111,8 +130,7 @@
                 return
         else:
             self._renew_at = self._clock.now() + TICK_S
-        if not self._leadership.is_leader():
-            logs.event('leadership_lost', term=self._leadership.term)
+        self._record_leadership()
         for listener in self.on_renewal_attempt:
             listener()
 
@@ -127,6 +145,7 @@
         if self._is_extended and self._leadership.is_leader():
             logs.event('leadership_kept', term=self._leadership.term)
             return
+        self._led_term = None
         try:
             await self._leadership.release()
         except errors.StoreUnavailableError as exc:
@@ -182,6 +201,7 @@
             self._candidate_delay_s()
         ):
             return False
+        previous = leadership.holder
         if not await leadership.acquire(self.address):
             return False
         if self._link_task is not None:
@@ -189,7 +209,14 @@
         self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
         self._hub.adopt_nodes(self._leader_link.nodes)
         self._record_renewal()
-        logs.event('leadership_taken', term=leadership.term)
+        self._led_term = leadership.term
+        logs.event(
+            'leadership_taken',
+            term=leadership.term,
+            previous=previous.node if previous else '',
+            previous_term=previous.term if previous else 0,
+            previous_count=previous.count if previous else 0,
+        )
         for listener in self.on_acquired:
             listener()
         return True
--- a/tests/edge/test_election.py
+++ b/tests/edge/test_election.py
@@ -232,3 +232,25 @@
         assert delay_s > (
             _election.CANDIDATE_DELAY_MAX_S + OBSERVATION_SPREAD_S
         )
+
+
+async def test_lapse_of_the_lease_is_logged_with_its_cause(monkeypatch):
+    """A lapse between two steps of the task is told, once."""
+    events = []
+    monkeypatch.setattr(
+        _election.logs,
+        'event',
+        lambda name, **pairs: events.append((name, pairs)),
+    )
+    setup = _Setup()
+    await setup.renew()
+    setup.clock.advance(2.5)
+    setup.lease.is_held = False
+    setup.task._record_leadership()
+    setup.task._record_leadership()
+    assert events == [
+        (
+            'leadership_lost',
+            {'term': 1, 'since_renewal_ms': 2500, 'renewal_due_ms': 1700},
+        )
+    ]
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 
 import pytest
@@ -92,12 +93,16 @@
         other.addresses['caller']
     ]
     await _request_until_served(client, other)
-    assert (
-        json.loads(store.rows[('plantainway', '', 'leader')][0])['value'][
-            'term'
-        ]
-        == 2
-    )
+    term = json.loads(store.rows[('plantainway', '', 'leader')][0])['value'][
+        'term'
+    ]
+    told = [
+        line
+        for process in (leader, other)
+        for line in process.lines
+        if re.search('event=(leader|lease|loop_late|store)', line)
+    ]
+    assert term == 2, ''.join(told)
 
 
 async def test_stopped_node_leaves_gracefully(pair, client):
