Test that no failure is passed on inside a stream

Reported by operators of similar systems: a stream broke off, the next runner answered with an error, and clients found its text in their stream.

--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -74,6 +74,33 @@
     ]
 
 
+@pytest.mark.parametrize(
+    'answer_mode',
+    [
+        'error',
+        'error_truncated',
+        'endless_error',
+        'endless_head',
+        'other_id',
+        'not_run',
+        'unnamed_refusal',
+        'reset',
+        'hang',
+    ],
+)
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+async def test_failure_after_a_broken_stream_is_not_passed_on_in_it(
+    node, runners, client, framing, answer_mode
+):
+    """The client gets the events before it, and no end of the answer."""
+    _break_answers(runners, framing, 'inside', 'reset', remaining=1)
+    for runner in runners.values():
+        runner.faults.answer = answer_mode
+    got = await conftest.send_request(client, node, '/stream/x', **STREAM)
+    assert (got.status, got.is_whole) == (200, False)
+    assert got.body == runner_standin.event(1)
+
+
 @pytest.mark.parametrize('framing, cut, close', BROKEN_BODIES)
 @pytest.mark.parametrize(
     'status, path, runs',
