Keep the election running whatever the project's rows hold

Reported by operators of similar systems: one malformed message took a process down. Looked for here: a row of the project's table that can't be read, or a lease without one of its fields, raised an error that the election task didn't expect. The task ended for good, on every node that read the row; the nodes stayed ready without a leader, so no group was formed or repaired. Seen in the new test, for each of eleven values, and in a whole node (task_failed task=ElectionTask.run reason=TypeError).

Unreadable rows now have no value. An unreadable lease counts as held by an unknown node: after a term without a change it is overwritten, in a higher term than any that this node has seen. Unreadable parts of the quarantine count as none.

The same class: any other unexpected error ended a feed, the election or the task of limits for the life of the process. They now run again after 0.5 s, and task_failed says so.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -570,6 +570,24 @@
         '',
         'tests/platform/test_store_restored.py',
     ),
+    Mutant(
+        'an unreadable lease is waited for',
+        'plantainway/cluster/_leadership.py',
+        "UNREADABLE_HOLDER = Holder('?', '', 0, 0)",
+        "UNREADABLE_HOLDER = Holder('', '', 0, 0)",
+        'tests/cluster/test_leadership.py',
+    ),
+    Mutant(
+        'a task runs again after an unexpected error',
+        'plantainway/edge/_node.py',
+        '            except Exception as exc:\n'
+        '                logs.event(\n'
+        "                    'task_failed',\n",
+        '            except ValueError as exc:\n'
+        '                logs.event(\n'
+        "                    'task_failed',\n",
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'interim answers are bounded',
         'plantainway/platform/_connections.py',
--- a/plantainway/cluster/_leadership.py
+++ b/plantainway/cluster/_leadership.py
@@ -31,6 +31,29 @@
     count: int
 
 
+def _decode_holder(value) -> Holder:
+    """Returns the holder in a lease row.
+
+    An unreadable row names no holder that could release it, so that other
+    nodes wait for a whole term before they overwrite it.
+    """
+    try:
+        holder = Holder(**value)
+    except TypeError:
+        return UNREADABLE_HOLDER
+    if not (
+        isinstance(holder.node, str)
+        and isinstance(holder.address, str)
+        and type(holder.term) is int
+        and type(holder.count) is int
+    ):
+        return UNREADABLE_HOLDER
+    return holder
+
+
+UNREADABLE_HOLDER = Holder('?', '', 0, 0)
+
+
 class Leadership:
     """Tracks the leader lease, and holds it while this node leads.
 
@@ -100,7 +123,7 @@
             self.holder, self.version = None, stores.ABSENT
             self._observer.observe(stores.ABSENT, '', now)
             return
-        self._observe(Holder(**row.value), row.version)
+        self._observe(_decode_holder(row.value), row.version)
 
     def _record_restore(self, now: float) -> None:
         """Starts a term of waiting if the store was restored from a copy.
@@ -229,8 +252,9 @@
         """Reads whether a write with an unknown outcome took effect."""
         row = await self._table.read(LEASE_KEY)
         self._is_outcome_unknown = False
-        if row is not None and row.value['node'] == self._id:
-            self._observe(Holder(**row.value), row.version)
+        holder = _decode_holder(row.value) if row else None
+        if holder is not None and holder.node == self._id:
+            self._observe(holder, row.version)
 
     def extend(self) -> None:
         """Keeps the leadership for ``EXTENSION_S`` without a renewal.
@@ -310,7 +334,7 @@
         version = row.version if row else stores.ABSENT
         if version != txn.checks[0].version:
             if row is not None:
-                self._observe(Holder(**row.value), row.version)
+                self._observe(_decode_holder(row.value), row.version)
             return stores.CommitResult(
                 stores.Outcome.NOT_COMMITTED,
                 'lease row was changed by another write',
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -223,7 +223,7 @@
 
     def _link_to_leader(self) -> None:
         holder = self._leadership.holder
-        if holder is None or not holder.node:
+        if holder is None or not holder.node or not holder.address:
             return
         if self._link_task is not None and not self._link_task.done():
             return
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -29,6 +29,7 @@
 LATE_CLIENT_WAIT_S = 0.5
 # Some clients cache a directory answer for this many times its TTL.
 DIRECTORY_TTL_FACTOR_MAX = 3.0
+TASK_RESTART_PAUSE_S = 0.5
 STOP_MARGIN_S = 0.3  # for closing all sockets before SIGKILL
 
 
@@ -69,11 +70,10 @@
         if listen.metrics:
             await self._readiness.listen(listen.metrics)
         for task in self._feeds:
-            self._spawn(task.run())
+            self._spawn(self._run_until_cancelled(task.run))
         self._election.address = self.addresses['peer']
-        self._spawn(self._election.run())
-        self._spawn(self._loop_monitor.run())
-        self._spawn(self._limit_task.run())
+        for task in (self._election, self._loop_monitor, self._limit_task):
+            self._spawn(self._run_until_cancelled(task.run))
         logs.event(
             'node_started',
             node=self.cfg.node,
@@ -250,6 +250,27 @@
         task.add_done_callback(self._handle_task_end)
         return task
 
+    async def _run_until_cancelled(self, run) -> None:
+        """Runs a task of the node, again after each unexpected error.
+
+        A node that went on without it would be ready and yet not follow the
+        configuration or the leader.
+
+        Args:
+            run: Coroutine function that ends only by an error.
+        """
+        while True:
+            try:
+                await run()
+            except Exception as exc:
+                logs.event(
+                    'task_failed',
+                    'ERROR',
+                    task=run.__qualname__,
+                    reason=repr(exc)[:200],
+                )
+            await asyncio.sleep(TASK_RESTART_PAUSE_S)
+
     def _handle_task_end(self, task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/plantainway/edge/_quarantine.py
+++ b/plantainway/edge/_quarantine.py
@@ -58,7 +58,7 @@
             rows: Rows of the project's table by key.
         """
         row = rows.get(ROW_KEY)
-        if row is not None and self._parts.merge(row.value['remaining_ms']):
+        if self._parts.merge(_decode_parts(row)):
             logs.event('quarantine_read', parts=','.join(self._parts.ids()))
 
     def handle_heartbeat(self, beat) -> None:
@@ -124,7 +124,7 @@
         term = self._leadership.term
         row = await self._table.read(ROW_KEY)
         self._row_version = row.version if row else stores.ABSENT
-        stored = row.value['remaining_ms'] if row else {}
+        stored = _decode_parts(row)
         self._stored_parts = frozenset(stored)
         self._term_read = term
         if self._parts.merge(stored):
@@ -151,3 +151,16 @@
         self._row_version = result.version
         self._stored_parts = frozenset(remaining_ms)
         self._refresh_at = self._clock.now() + ROW_REFRESH_S
+
+
+def _decode_parts(row) -> dict[str, int]:
+    """Returns the parts in a row, none if it is absent or unreadable."""
+    value = row.value if row is not None else None
+    parts = value.get('remaining_ms') if isinstance(value, dict) else None
+    if not isinstance(parts, dict):
+        return {}
+    return {
+        str(part): remaining
+        for part, remaining in parts.items()
+        if type(remaining) is int
+    }
--- a/plantainway/platform/_store.py
+++ b/plantainway/platform/_store.py
@@ -15,6 +15,7 @@
 from plantainway import stores
 
 PROJECT_TABLE = 'plantainway'
+ROW_KEY_CHARS_LOGGED = 40
 CALL_TIMEOUT_S = 1.5  # answers of a slow store take about 0.4 s
 # Of the body of an answer that keeps arriving: a configuration of some
 # thousand routes over the slowest link, in use by others.
@@ -317,5 +318,21 @@
 
 
 def _decode_row(row: stores.RawRow) -> stores.Row:
-    body = json.loads(row.value)
-    return stores.Row(row.key, body['value'], row.version, body['txn'])
+    """Returns a row of the project's table; without a value if unreadable.
+
+    Other writers of the table are not ruled out.
+    """
+    try:
+        body = json.loads(row.value)
+        return stores.Row(
+            row.key, body['value'], row.version, str(body['txn'])
+        )
+    except (ValueError, TypeError, KeyError) as exc:
+        logs.event(
+            'row_unreadable',
+            'WARNING',
+            key=row.key[:ROW_KEY_CHARS_LOGGED],
+            row_version=row.version,
+            reason=repr(exc)[:100],
+        )
+        return stores.Row(row.key, None, row.version, '')
--- a/tests/cluster/test_leadership.py
+++ b/tests/cluster/test_leadership.py
@@ -264,3 +264,40 @@
     assert node.holder is None
     assert await node.acquire('10.0.0.1:1')
     assert node.term == expected
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'null',
+        b'{"txn": "t"}',
+        b'{"txn": "t", "value": null}',
+        b'{"txn": "t", "value": ["n1"]}',
+        b'{"txn": "t", "value": {"node": "n9"}}',
+        b'{"txn": 3, "value": {"node": "n9", "address": "x", "term": "7", '
+        b'"count": 1}}',
+        b'{"txn": 3, "value": {"node": null, "address": null, "term": 7, '
+        b'"count": 1}}',
+        b'{"txn": 3, "value": {"node": "n9", "address": "x", "term": 7, '
+        b'"count": 1, "more": 1}}',
+    ],
+)
+async def test_unreadable_lease_is_overwritten_after_a_term(
+    server, table, clock, value
+):
+    """Other rows that can't be read change nothing."""
+    server.put('plantainway', 'leader', value)
+    server.put('plantainway', 'quarantine', value)
+    leadership = _node('n1', table, clock)
+    await leadership.read_lease()
+    assert not leadership.may_acquire(0.0)
+    clock.advance(_leadership.LEASE_TERM_S + 0.001)
+    assert leadership.may_acquire(0.0)
+    assert await leadership.acquire('10.0.0.1:1')
+    assert leadership.is_leader()
+    server.put('plantainway', 'leader', value)
+    assert not await leadership.renew()
+    assert not leadership.is_leader()
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -519,3 +519,44 @@
     got = await running
     assert got.is_whole
     assert got.body == _complete_stream(60)
+
+
+async def test_node_serves_although_rows_of_the_store_are_unreadable(
+    store, runners, client
+):
+    """Unreadable rows of each table neither end the node nor its tasks."""
+    for garbage in (b'', b'\xff\xfe', b'[]', b'{"txn": 1, "value": [2]}'):
+        for key in ('leader', 'quarantine', 'x'):
+            store.put('plantainway', key, garbage)
+        store.put('servers', 'x', garbage)
+        store.put('op', 'x', garbage)
+    async with conftest.running(
+        conftest.settings('n1', store.address)
+    ) as node:
+        await conftest.until(
+            lambda: node.open_head_count('llm', 'm0') == 2, 'heads seen'
+        )
+        store.put('plantainway', 'leader', b'[]')
+        for path in ('/safe/x', '/stream/x'):
+            got = await conftest.send_request(client, node, path, **STREAM)
+            assert got.status == 200
+        version = node.dump()['term']
+        await conftest.until(
+            lambda: node.dump()['leads'] and node.dump()['term'] > version,
+            'leads again',
+        )
+
+
+async def test_task_of_a_node_runs_again_after_an_unexpected_error(node):
+    """Its error ends neither the process nor the work of the task."""
+    calls = []
+
+    async def run():
+        calls.append(1)
+        if len(calls) == 1:
+            raise RuntimeError('unexpected')
+        await asyncio.sleep(60)
+
+    task = asyncio.ensure_future(node._run_until_cancelled(run))
+    await conftest.until(lambda: len(calls) == 2, 'second run')
+    task.cancel()
