Let a leader's lease run out while its VM is suspended

Reported by operators of similar systems: a process that had been paused acted on a permission that had run out meanwhile. A leader that woke up after 3 s still took itself for the leader (the new test failed so) and sent orders until its next renewal failed; engines refuse those of older epochs, but only where the new leader has given orders already.

The lease is now measured on the clock that goes on. A candidate that was suspended itself may take a lease for lapsed too early; its write then fails, since the row has changed. Processes that are stopped by a signal were safe before: their monotonic clock goes on.

Streams that drip or are slow, reported as well, were sound: four rows of tests and a mutant are new, the code is as it was.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -577,6 +577,13 @@
         "UNREADABLE_HOLDER = Holder('', '', 0, 0)",
         'tests/cluster/test_leadership.py',
     ),
+    Mutant(
+        'a lease runs out while the VM is suspended',
+        'plantainway/edge/_node.py',
+        '            self._store,\n            clocks.SuspendAwareClock(),\n',
+        '            self._store,\n            clock,\n',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a task runs again after an unexpected error',
         'plantainway/edge/_node.py',
@@ -630,6 +637,15 @@
         'or False',
         'tests/platform/test_node_requests.py',
     ),
+    Mutant(
+        'bytes without an event are no progress',
+        'plantainway/traffic/_stream.py',
+        '            if not events:\n                continue\n',
+        '            stall_timer.arm(5.0)\n'
+        '            if not events:\n'
+        '                continue\n',
+        'tests/platform/test_node_requests.py',
+    ),
     Mutant(
         'a failure after a broken stream is not passed on',
         'plantainway/traffic/_stream.py',
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -169,8 +169,12 @@
 
     def _create_cluster_components(self) -> None:
         cfg, clock, view = self.cfg, self._clock, self._view
+        # The lease also runs out while this VM is suspended.
         self._leadership = cluster.Leadership(
-            cfg.node, uuid.uuid4().hex[:8], self._store, clock
+            cfg.node,
+            uuid.uuid4().hex[:8],
+            self._store,
+            clocks.SuspendAwareClock(),
         )
         self._leadership.newest_used_term = view.newest_used_term
         self._loop_monitor = _lateness.LoopMonitor(
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -12,6 +12,7 @@
 import struct
 
 EVENT_S = 0.01
+DRIP_S = 0.1
 ENDLESS_PAUSE_S = 0.002  # about 30 MB/s
 ENTRY_TTL_S = 0.3  # the entry of a runner that has crashed goes away
 RESTART_S = 0.6  # after a crash by a request
@@ -86,16 +87,18 @@
     ``stream_end`` is ``whole`` for a complete stream. Otherwise the stream
     ends after ``events`` events: with a connection reset (``reset``), with a
     part of an event and a reset (``torn``), or with an open connection that
-    stays idle (``silent``). ``broken`` goes before both. The runner crashes
-    when it is about to send the first event of a request whose prompt has
-    ``crash_part``, and starts again after ``RESTART_S``. All answers name
-    ``rate_limit``, unless it is empty.
+    stays idle (``silent``) or gets one byte of an event every ``DRIP_S``
+    (``drip``). Events come every ``event_s``. ``broken`` goes before both.
+    The runner crashes when it is about to send the first event of a request
+    whose prompt has ``crash_part``, and starts again after ``RESTART_S``. All
+    answers name ``rate_limit``, unless it is empty.
     """
 
     broken: BrokenAnswer | None = None
     crash_part: str = ''
     rate_limit: str = ''
     answer: str = 'whole'
+    event_s: float = EVENT_S
     events: int = 5
     stream_end: str = 'whole'
 
@@ -452,7 +455,11 @@
         for number in range(first, last + 1):
             _chunk(writer, event(number))
             await writer.drain()
-            await asyncio.sleep(EVENT_S)
+            await asyncio.sleep(self.faults.event_s)
+        while self.faults.stream_end == 'drip':
+            _chunk(writer, b'x')
+            await writer.drain()
+            await asyncio.sleep(DRIP_S)
         if self.faults.stream_end == 'torn':
             _chunk(writer, b'id: 99\ndata: to')
             await writer.drain()
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 
 import pytest
 
@@ -10,6 +11,7 @@
 from tests.platform import conftest
 from tests.platform import runner_standin
 
+SUSPENDED_S = 3.0  # longer than the term of a lease
 STREAM = {'Model': 'm0', 'Token_Count': '10,10', 'method': 'POST'}
 
 
@@ -304,6 +306,47 @@
     assert max(seen.sent_bytes for seen in received) <= ENDLESS_BYTES_MAX
 
 
+@pytest.mark.parametrize(
+    'path, is_whole', [('/stream/x', True), ('/once/x', False)]
+)
+async def test_stream_that_only_drips_ends(
+    node, runners, client, path, is_whole
+):
+    """Bytes without an event are no progress: it is resumed, or ends."""
+    whole = b''.join(runner_standin.event(n) for n in range(1, 6))
+    for runner in runners.values():
+        runner.faults.events = 2
+        runner.faults.stream_end = 'drip'
+
+    async def heal():
+        await conftest.until(lambda: _received_requests(runners, 'e-'), 'run')
+        for runner in runners.values():
+            if not runner.seen:
+                runner.faults.stream_end = 'whole'
+
+    healing = asyncio.ensure_future(heal())
+    got = await conftest.send_request(client, node, path, **STREAM)
+    await healing
+    assert (got.status, got.is_whole) == (200, is_whole)
+    assert whole.startswith(got.body)
+    assert (got.body == whole) == is_whole
+
+
+@pytest.mark.parametrize('path', ['/stream/x', '/once/x'])
+async def test_slow_but_sound_stream_is_complete(node, runners, client, path):
+    """Every group takes more than twice the pause that clients are promised.
+
+    It may be moved while another run is allowed, but is not cut off.
+    """
+    for runner in runners.values():
+        runner.faults.event_s = 0.7
+    got = await conftest.send_request(
+        client, node, path, **STREAM, Deadline_Ms='6000'
+    )
+    assert (got.status, got.is_whole) == (200, True)
+    assert got.body == b''.join(runner_standin.event(n) for n in range(1, 6))
+
+
 async def _leave_when(response_task, check) -> None:
     """Closes a client's connection once a condition holds."""
     await conftest.until(check, 'moment to leave')
@@ -547,6 +590,22 @@
         )
 
 
+async def test_leader_stops_leading_once_its_vm_was_suspended(
+    node, monkeypatch
+):
+    """The monotonic clock of the operating system did not go on meanwhile."""
+    assert node.dump()['leads']
+    read = time.clock_gettime
+    monkeypatch.setattr(
+        time,
+        'clock_gettime',
+        lambda clock: (
+            read(clock) + SUSPENDED_S * (clock == time.CLOCK_BOOTTIME)
+        ),
+    )
+    assert not node.dump()['leads']
+
+
 async def test_task_of_a_node_runs_again_after_an_unexpected_error(node):
     """Its error ends neither the process nor the work of the task."""
     calls = []
