Check that a repeated request avoids connections with copies

The mutant that sends a plain request to an upstream again on a kept connection turned no test red: the guard against a second refusal with the same id caught it as well, and the stand-in left plain requests on new connections without an answer. It answers now, and the test asks for success without a denied run; it turns red without either new connection (/safe/x and /once/x).

--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -359,7 +359,7 @@
             _send(writer, 200, headers, self.body)
         elif self.model:
             await self._stream(reader, writer, seen, headers)
-        elif answer_mode == 'whole':
+        elif answer_mode in ('whole', 'refusal_again'):
             _send(writer, 200, headers, self.body)
         elif answer_mode == 'truncated':
             headers.append(('Content-Length', str(len(self.body) + 10)))
--- a/tests/platform/test_node_requests.py
+++ b/tests/platform/test_node_requests.py
@@ -237,6 +237,9 @@
     ran = [one for runner in runners.values() for one in runner.ran]
     assert got.status != 503 or not ran
     assert path == '/safe/x' or len(ran) <= 1
+    if answer_mode == 'refusal_again':
+        # It is sent to no connection on which a copy may arrive.
+        assert (got.status, ran) == (200, [])
 
 
 @pytest.mark.parametrize(
