Test repeated requests that crash plain services and engines

The three rows fail: the request is never refused on plain routes, and on a stream route the part that it shares with sound prompts is quarantined instead.

--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -90,12 +90,14 @@
     stays idle (``silent``) or gets one byte of an event every ``DRIP_S``
     (``drip``). Events come every ``event_s``. ``broken`` goes before both.
     The runner crashes when it is about to send the first event of a request
-    whose prompt has ``crash_part``, and starts again after ``RESTART_S``. All
-    answers name ``rate_limit``, unless it is empty.
+    whose prompt has ``crash_part``, or any answer to one whose body is
+    ``crash_body``, and starts again after ``RESTART_S``. All answers name
+    ``rate_limit``, unless it is empty.
     """
 
     broken: BrokenAnswer | None = None
     crash_part: str = ''
+    crash_body: bytes = b''
     rate_limit: str = ''
     answer: str = 'whole'
     event_s: float = EVENT_S
@@ -323,6 +325,10 @@
         if broken is not None and broken.remaining > 0:
             broken.remaining -= 1
             await self._send_broken(writer, seen, headers, broken)
+        elif self._crashes_on(seen):
+            await asyncio.sleep(EVENT_S)
+            self._crash()
+            raise _Closed
         elif answer_mode == 'not_run':
             self._refuse(writer, request_id)
         elif answer_mode == 'unnamed_refusal':
@@ -376,6 +382,9 @@
             _reset(writer)
             raise _Closed
 
+    def _crashes_on(self, seen) -> bool:
+        return bool(seen.body) and seen.body == self.faults.crash_body
+
     def _refuse(self, writer, request_id: str) -> None:
         headers = [('Request-Id', request_id), ('Not-Executed', '1')]
         _send(writer, 503, self._named(headers), b'')
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -12,6 +12,7 @@
 from tests.platform import runner_standin
 
 CRASH_PART = 'p1'
+CRASH_BODY = b'deadly'
 FIRST = 'f0'  # all requests of the tests begin with this part
 # Of the platform's rules: all nodes know after this time what one has learnt,
 # and three requests may reach engines after that.
@@ -222,6 +223,92 @@
         assert list(one.dump()['quarantined_parts']) == [CRASH_PART]
 
 
+class RepeatingCaller:
+    """Sends one request again and again; its body crashes runners."""
+
+    def __init__(self, client, runners, path):
+        self._client = client
+        self._runners = runners
+        self._path = path
+        self._count = 0
+
+    async def send(self, node, body=CRASH_BODY, path='', key='k1'):
+        """Sends the request, or one that differs from it."""
+        self._count += 1
+        return await conftest.send_request(
+            self._client,
+            node,
+            path or self._path,
+            method='POST',
+            key=key,
+            body=body,
+            request_id=f'r-{self._count}',
+            Model='m0',
+            Token_Count='10,10',
+            Prefix_Hash=f'{FIRST}:40,last:40',
+        )
+
+    def arrivals(self):
+        """Returns how often the request reached a runner."""
+        return sum(
+            (seen.target, seen.body) == (self._path, CRASH_BODY)
+            and seen.headers['tenant'] == 't1'
+            for runner in self._runners.values()
+            for seen in runner.seen
+        )
+
+    async def wait_for_restart(self):
+        """Waits until all runners are registered, and groups are open."""
+        await asyncio.sleep(runner_standin.RESTART_S)
+        await conftest.until(
+            lambda: len(conftest.open_heads(self._runners)) >= 2, 'groups'
+        )
+        await asyncio.sleep(0.3)  # until all nodes have seen it
+
+    async def crash_runners(self, nodes):
+        """Sends the request until three runners have crashed."""
+        async with asyncio.timeout(conftest.WAIT_S):
+            for node in itertools.cycle(nodes):
+                await self.send(node)
+                if self.arrivals() >= REQUESTS_MAX:
+                    break
+                await self.wait_for_restart()
+        await asyncio.sleep(STABLE_S)
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x?q=1'])
+async def test_repeated_request_that_crashes_runners_is_refused_by_all_nodes(
+    three_nodes, runners, client, store, path
+):
+    """Requests that differ in path, account or body go on."""
+    tenants = [
+        {'name': name, 'apiKeys': [key], 'priority': 1}
+        for name, key in (('t1', 'k1'), ('t2', 'k2'))
+    ]
+    store.put('op', 'config', conftest.configuration(4, tenants=tenants))
+    for runner in runners.values():
+        runner.faults.crash_body = CRASH_BODY
+    caller = RepeatingCaller(client, runners, path)
+    await caller.send(three_nodes[0], b'sound')
+    await caller.crash_runners(three_nodes)
+    before = caller.arrivals()
+    for node in three_nodes * 2:
+        await caller.wait_for_restart()
+        got = await caller.send(node)
+    assert caller.arrivals() - before <= REQUESTS_MAX
+    assert (got.status, 'Server-Stamp' in got.headers) == (503, False)
+    for runner in runners.values():
+        runner.faults.crash_body = b''
+    for node in three_nodes:
+        for other in (
+            {'body': b'sound'},
+            {'path': path + 'y'},
+            {'key': 'k2'},
+        ):
+            got = await caller.send(node, **other)
+            assert (got.status, got.is_whole) == (200, True), other
+
+
 @pytest.mark.parametrize(
     'has_run, status, runs', [(False, 503, 0), (True, 502, 1)]
 )
