Refuse a request that crashed three upstreams

Cause: crashes were counted by the shared parts of prompts alone. A request without any left no evidence (record_cut_off returned at once), and one whose parts stand in other requests had these survive. At an unpopular part the opposite happened: one request, sent again, had a part quarantined that sound prompts share.

Change: the fingerprint of a request (method, host, target, account, body) is counted as one more part, at the end of the prompt. A part needs crashes by two different requests; a quarantined request explains crashes for other requests, not for its own parts.

The stand-in callers of the older tests sent one empty body with each prompt, though they claim that no two requests are alike; each has a body of its own now. Nothing else in them changed.

--- a/plantainway/quarantine/_evidence.py
+++ b/plantainway/quarantine/_evidence.py
@@ -7,6 +7,8 @@
 REPORTS_MAX = 64
 # Parts whose last survival is kept; the one that survived longest ago goes.
 SURVIVALS_MAX = 4096
+# Ids of whole requests; the colon keeps them apart from parts of prompts.
+FINGERPRINT_PREFIX = 'request:'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,8 +16,9 @@
     """A run that ended before its engine had written an event of it.
 
     ``engine`` and ``started_ms`` name the incarnation of the engine. ``parts``
-    are the shared parts of the request's prompt, in their order. ``age_ms``
-    counts from the end of the run to the sending of the report.
+    are the shared parts of the request's prompt, in their order, and the
+    fingerprint of the request. ``age_ms`` counts from the end of the run to
+    the sending of the report.
     """
 
     engine: str
@@ -45,7 +48,7 @@
         """Records that an engine went on writing an answer.
 
         Args:
-            parts: Shared parts of the prompt.
+            parts: Shared parts of the prompt and the fingerprint.
         """
         for part in parts:
             self._survived_at[part] = self._clock.now()
@@ -58,7 +61,8 @@
 
         Args:
             engine: The upstream, as it was known when the run began.
-            parts: Shared parts of the prompt; nothing is recorded without.
+            parts: Shared parts of the prompt and the fingerprint; nothing is
+                recorded without any.
         """
         if parts:
             report = CrashReport(
@@ -101,7 +105,7 @@
 
     Args:
         recorder: Evidence of this node.
-        parts: Shared parts of the prompt.
+        parts: Shared parts of the prompt and the fingerprint.
     """
 
     def __init__(self, recorder, parts):
--- a/plantainway/quarantine/_parts.py
+++ b/plantainway/quarantine/_parts.py
@@ -1,6 +1,7 @@
-"""The parts of prompts that are refused, and until when."""
+"""The parts of prompts and the requests that are refused, and until when."""
 
 from plantainway import errors
+from plantainway.quarantine import _evidence
 
 QUARANTINE_S = 600.0
 # After its quarantine one crash is enough to quarantine a part again.
@@ -11,11 +12,12 @@
 
 
 class Quarantine:
-    """Parts of prompts on which engines crash.
+    """Parts of prompts, and whole requests, on which upstreams crash.
 
-    Requests with such a part are refused for ``QUARANTINE_S``; then the part
-    is on probation for ``PROBATION_S`` and is forgotten after that. At most
-    ``PARTS_MAX`` parts are kept, those with the latest end of quarantine.
+    A whole request is kept like a part, under its fingerprint. Requests with
+    such a part are refused for ``QUARANTINE_S``; then the part is on probation
+    for ``PROBATION_S`` and is forgotten after that. At most ``PARTS_MAX``
+    parts are kept, those with the latest end of quarantine.
 
     Args:
         clock: Source of monotonic time.
@@ -52,7 +54,7 @@
         part = self.find(parts)
         if part is not None:
             raise errors.NotRunError(
-                f'engines crash on part {part} of the prompt',
+                f'upstreams crash on {_describe(part)}',
                 'route',
                 reason='quarantined',
                 retry_after_s=self._ends_at[part] - self._clock.now(),
@@ -125,3 +127,9 @@
             part: int((ends_at - now) * 1000)
             for part, ends_at in self._ends_at.items()
         }
+
+
+def _describe(part: str) -> str:
+    if part.startswith(_evidence.FINGERPRINT_PREFIX):
+        return part
+    return f'part {part} of the prompt'
--- a/plantainway/quarantine/_tally.py
+++ b/plantainway/quarantine/_tally.py
@@ -1,7 +1,9 @@
-"""Finds the part of prompts that crashed engines have in common."""
+"""Finds what the requests that crashed upstreams have in common."""
 
 import dataclasses
 
+from plantainway.quarantine import _evidence
+
 CRASHES_MIN = 3
 # A part that has survived this recently takes more crashes in a row, since
 # engines that are lost together cut off requests with popular parts, too.
@@ -34,7 +36,8 @@
 class _Suspect:
     """A part of cut-off requests; times are monotonic seconds.
 
-    ``depths`` holds its position in the prompts by crash.
+    ``depths`` holds its position in the prompts by crash, ``requests`` the
+    fingerprints of the requests with it, empty ones included.
     """
 
     watched_since: float
@@ -42,15 +45,20 @@
     depths: dict[tuple[str, int], int] = dataclasses.field(
         default_factory=dict
     )
+    requests: dict[tuple[str, int], set[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class CrashTally:
     """Sums up the evidence of all nodes; used by the leader.
 
-    Each crash is put down to one part. Among those with enough crashes it is
-    the one that has not survived for longest, then the one with most crashes,
-    then the one that stands later in the prompt: sound requests share the
-    parts before it.
+    Each crash is put down to one part, or to a whole request by its
+    fingerprint. Among those with enough crashes it is the one that has not
+    survived for longest, then the one with most crashes, then the one that
+    stands later in the prompt: sound requests share the parts before it. The
+    fingerprint stands last. A part takes crashes by two different requests: a
+    single one that is sent again says nothing against what others share.
 
     Args:
         clock: Source of monotonic time.
@@ -81,16 +89,19 @@
                     continue
                 crash = _Crash(now - age_s, set(), is_confirmed)
                 self._crashes[key] = crash
+            request = next(filter(_is_fingerprint, report.parts), '')
             for depth, part in enumerate(report.parts):
                 crash.parts.add(part)
                 suspect = self._suspects.setdefault(part, _Suspect(now))
                 suspect.depths[key] = depth
+                suspect.requests.setdefault(key, set()).add(request)
         while len(self._crashes) > CRASHES_MAX:
             self._drop(min(self._crashes, key=lambda k: self._crashes[k].at))
 
     def _drop(self, key) -> None:
         for part in self._crashes.pop(key).parts:
             del self._suspects[part].depths[key]
+            del self._suspects[part].requests[key]
             if not self._suspects[part].depths:
                 del self._suspects[part]
 
@@ -123,27 +134,41 @@
 
         Args:
             quarantine: The quarantined parts. Crashes that these explain do
-                not count.
+                not count. A quarantined request explains them for other
+                requests only: it may have one of its parts to blame.
         """
         if not self._crashes:
             return None
         now = self._clock.now()
         self._update_crashes(now)
+        confirmed = {
+            key: crash.parts
+            for key, crash in self._crashes.items()
+            if crash.is_confirmed
+        }
+        unexplained_by_parts = {
+            key
+            for key, parts in confirmed.items()
+            if quarantine.find(_without_fingerprints(parts)) is None
+        }
         unexplained = {
             key
-            for key, crash in self._crashes.items()
-            if crash.is_confirmed and quarantine.find(crash.parts) is None
+            for key in unexplained_by_parts
+            if quarantine.find(confirmed[key]) is None
         }
         best, best_rank = None, ()
         for part, suspect in self._suspects.items():
             if now - suspect.watched_since < SURVIVAL_ANSWER_S:
                 continue
+            is_request = _is_fingerprint(part)
             keys = [
                 key
                 for key in suspect.depths
-                if key in unexplained
+                if key in (unexplained if is_request else unexplained_by_parts)
                 and self._crashes[key].at > suspect.survived_at
             ]
+            if not is_request and _is_one_request(suspect, keys):
+                continue
             times = [self._crashes[key].at for key in keys]
             is_known = quarantine.is_on_probation(part)
             if not _suffices(times, suspect, is_known, now):
@@ -164,6 +189,27 @@
                 self._drop(key)
 
 
+def _is_fingerprint(part: str) -> bool:
+    return part.startswith(_evidence.FINGERPRINT_PREFIX)
+
+
+def _without_fingerprints(parts) -> list[str]:
+    return [part for part in parts if not _is_fingerprint(part)]
+
+
+def _is_one_request(suspect, keys) -> bool:
+    """Returns whether one request alone is behind some crashes of a part.
+
+    Requests without a fingerprint count as different ones.
+
+    Args:
+        suspect: The part.
+        keys: The crashes.
+    """
+    requests = set().union(*(suspect.requests[key] for key in keys))
+    return len(requests) == 1 and '' not in requests
+
+
 def _suffices(times, suspect, is_on_probation: bool, now: float) -> bool:
     """Returns whether the crashes since a part last survived suffice.
 
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -180,8 +180,9 @@
         service = _choose_service(route, self._rng)
         if service is None:
             return _types.Response(503, reason='route has no weighted service')
+        req.add_fingerprint(account_name)
         try:
-            self._deps.quarantine.ensure_allowed(req.shared_parts)
+            self._deps.quarantine.ensure_allowed(req.crash_keys)
         except errors.NotRunError as exc:
             return _types.Response(
                 503, retry_after_s=exc.retry_after_s, reason=exc.message
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -125,7 +125,7 @@
                 candidates = self._candidates(service, tried_names)
             if not candidates or deps.clock.now() >= deadline:
                 break
-            if deps.quarantine.find(req.shared_parts) is not None:
+            if deps.quarantine.find(req.crash_keys) is not None:
                 break
             if sends and not deps.budget.try_take(service):
                 deps.outcomes.log_decision(
@@ -169,6 +169,7 @@
                 reason=result.reason,
                 runs=runs,
                 repeats=may_retry,
+                parts=','.join(req.crash_keys),
             )
             if not may_retry:
                 break
@@ -220,7 +221,7 @@
             return _AttemptResult(None, not was_refused, 'no response in time')
         except errors.UpstreamError as exc:
             if exc.sent:
-                deps.evidence.record_cut_off(upstream, req.shared_parts)
+                deps.evidence.record_cut_off(upstream, req.crash_keys)
             deps.record_failure(upstream, exc.message, eject_now=not exc.sent)
             return _AttemptResult(None, exc.sent, exc.message)
         finally:
@@ -245,7 +246,7 @@
                 is_server_error=True,
             )
         deps.health.record_success(upstream.name)
-        deps.evidence.record_survival(req.shared_parts)
+        deps.evidence.record_survival(req.crash_keys)
         return _AttemptResult(response, True, '')
 
     def _attempt_timeout_s(
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -178,7 +178,7 @@
                 reason=state.reason,
                 runs=state.runs,
                 after_event=state.last_event_id,
-                parts=','.join(state.req.shared_parts),
+                parts=','.join(state.req.crash_keys),
             )
             state.excluded_heads.add(reservation.head.name)
             if result is _AttemptResult.NOT_RUN:
@@ -228,10 +228,10 @@
                 ``HeadPool.reserve``.
         """
         ensure_allowed = self._deps.quarantine.ensure_allowed
-        ensure_allowed(state.req.shared_parts)
+        ensure_allowed(state.req.crash_keys)
         reservation = await self._reserve(state)
         try:
-            ensure_allowed(state.req.shared_parts)
+            ensure_allowed(state.req.crash_keys)
         except errors.NotRunError:
             self._deps.heads.release(reservation)
             raise
@@ -286,9 +286,7 @@
         )
         state.sent_heads.add(head.name)
         stall_timer = None
-        evidence = quarantine.RunEvidence(
-            deps.evidence, state.req.shared_parts
-        )
+        evidence = quarantine.RunEvidence(deps.evidence, state.req.crash_keys)
         result = _AttemptResult.BROKEN
         try:
             async with asyncio.timeout(None) as attempt_timeout:
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -3,14 +3,17 @@
 import abc
 import asyncio
 import dataclasses
+import hashlib
 
 from plantainway import deployment
 from plantainway import errors
 from plantainway import logs
+from plantainway import quarantine
 
 # Reason of refusals by upstreams that limit their rate.
 REASON_LIMITED = 'limited'
 DISCARD_TIMEOUT_S = 0.2  # the body of a refusal follows its head at once
+FINGERPRINT_BYTES = 8
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +26,8 @@
     the client received of a stream it resumes, ``None`` for a new stream.
     ``shared_parts`` are the ids of the parts of the prompt that requests may
     have in common, which are all but the last, in their order.
+    ``crash_keys`` are the ids under which crashes of upstreams are counted:
+    the shared parts and, once the client account is known, the fingerprint.
     """
 
     request_id: str
@@ -40,6 +45,23 @@
     length_hint: int = 0
     last_event_id: int | None = None
     shared_parts: tuple[str, ...] = ()
+    crash_keys: tuple[str, ...] = ()
+
+    def __post_init__(self):
+        self.crash_keys = self.crash_keys or self.shared_parts
+
+    def add_fingerprint(self, account: str) -> None:
+        """Adds the id that all attempts of the same request have.
+
+        Args:
+            account: Name of the client account, or empty.
+        """
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for value in (self.method, self.host, self.target, account):
+            digest.update(value.encode('utf-8', 'surrogateescape') + b'\0')
+        digest.update(self.body)
+        fingerprint = quarantine.FINGERPRINT_PREFIX + digest.hexdigest()
+        self.crash_keys = (*self.shared_parts, fingerprint)
 
     @property
     def path(self) -> str:
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -46,6 +46,7 @@
             node,
             '/stream/x',
             method='POST',
+            body=f'prompt {self._count}'.encode(),
             request_id=f'r-{self._count}',
             Model='m0',
             Token_Count='10,10',
--- a/tests/quarantine/test_tally.py
+++ b/tests/quarantine/test_tally.py
@@ -120,6 +120,47 @@
     assert setup.found_parts() == expected
 
 
+@pytest.mark.parametrize(
+    'crashes, expected',
+    [
+        # Sent again, it is refused, but not what other requests share.
+        ([['a p request:1']] * 3, ['request:1']),
+        ([['request:1']] * 3, ['request:1']),
+        ([['request:1']] * 2, []),
+        # Others that are cut off beside it are not the same each time.
+        (
+            [[f'request:{n}', 'request:9'] for n in range(3)],
+            ['request:9'],
+        ),
+        # What it has explained does not speak against its neighbours.
+        ([['request:1', 'request:2']] * 3, 1),
+        # Different requests have a part in common.
+        ([[f'a p request:{n}'] for n in range(3)], ['p']),
+        ([['a p request:1'], ['a p request:1'], ['a p request:2']], ['p']),
+        # The part is known by one more crash after its request is refused.
+        ([['p request:1']] * 3 + [['p request:2']], ['p']),
+    ],
+)
+def test_request_that_crashes_upstreams_is_told_from_its_parts(
+    setup, crashes, expected
+):
+    """Only different requests speak against a part that they share."""
+    for prompts in crashes:
+        setup.crash(*prompts, after_s=0.3)
+    setup.tally.record_survivals({'a': 100})
+    found = setup.found_parts()
+    assert expected in (found, len(found))
+
+
+def test_part_is_found_after_a_request_with_it_is_refused(setup):
+    """A quarantined request explains nothing for the parts it shares."""
+    for _ in range(3):
+        setup.crash('p request:1', after_s=0.3)
+    assert setup.found_parts() == ['request:1']
+    setup.crash('p request:2', after_s=0.3)
+    assert setup.found_parts() == ['p']
+
+
 def test_answer_that_breaks_off_is_no_crash(setup):
     """An engine that is still there has only broken off its answer."""
     for _ in range(9):
