--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -141,6 +141,8 @@
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self.silent_for: set[str] = set()  # addresses that get no bytes
+        self._silenced: set[asyncio.StreamWriter] = set()
         self.address = ''
 
     async def start(self, port: int = 0) -> None:
@@ -183,6 +185,27 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def reset_connections(self, source: str, if_silent=False) -> None:
+        """Resets the connections from an address.
+
+        Args:
+            source: IP address.
+            if_silent: Whether to reset only those that were silent.
+        """
+        for writer in list(self._silenced if if_silent else self._writers):
+            if _source(writer) == source:
+                _reset(writer)
+
+    async def _wait_if_silent(self, writer) -> None:
+        if _source(writer) in self.silent_for:
+            self._silenced.add(writer)
+            try:
+                while not writer.is_closing():
+                    await asyncio.sleep(EVENT_S)
+            finally:
+                self._silenced.discard(writer)
+            raise _Closed
+
     def write_entry(self, state: str = 'ready') -> None:
         """Writes its entry to the store.
 
@@ -229,6 +252,7 @@
             headers[name.strip().lower()] = value.strip()
         length = int(headers.get('content-length', 0))
         body = await reader.readexactly(length)
+        await self._wait_if_silent(writer)
         if target == '/plantainway/report':
             self.reports += 1
             self._send_json(writer, 200, self._report())
@@ -462,6 +486,7 @@
         if is_interrupted:
             last = min(first + self.faults.events - 1, self.events)
         for number in range(first, last + 1):
+            await self._wait_if_silent(writer)
             _chunk(writer, event(number))
             await writer.drain()
             await asyncio.sleep(self.faults.event_s)
@@ -506,6 +531,10 @@
     return b'id: %d\ndata: word%d\n\n' % (number, number)
 
 
+def _source(writer) -> str:
+    return (writer.get_extra_info('peername') or ('',))[0]
+
+
 def _reset(writer) -> None:
     """Closes a connection with a TCP reset instead of a regular end."""
     sock = writer.get_extra_info('socket')
