Serve requests through another node while the links are lost

Cause: each failure was counted against the upstream where it showed. A node tried up to four upstreams, none of which it could reach, and refused, although another node could have served the request.

Change: a node that fails at two upstreams without a sign of life of any, or can't connect to three, asks four upstreams of different failure domains over new connections. Two such checks without an answer mean that its links are lost: it sends requests to other nodes, over a port of their own, and counts nothing against upstreams. A request that can't be sent to two upstreams goes the same way at once. The other node tries its own upstreams only, under a configuration that is not older, with the runs and the time that are left; its 503 means that nothing has run. Nodes that have lost their links leave the directory, and their suspicions count for nothing.

Evidence: the three rows in which a follower is cut off (connections reset, hanging, or living on while new ones are refused) failed and pass, with unsafe requests run once. Rows with the leader fail still.

--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -25,7 +25,9 @@
     """Address and state of a node, for the other nodes and the directory.
 
     ``address`` takes client requests; ``ready`` tells whether the node
-    serves them. ``weight`` is the capacity from the node's settings.
+    serves them. ``weight`` is the capacity from the node's settings. ``relay``
+    takes requests of other nodes; ``links_lost`` tells whether the node
+    reaches no upstreams.
     """
 
     node: str
@@ -33,6 +35,8 @@
     zone: str
     weight: float
     ready: bool
+    relay: str = ''
+    links_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/edge/_settings.py
+++ b/plantainway/edge/_settings.py
@@ -10,13 +10,23 @@
 
 
 class EdgeListen(pydantic.BaseModel):
-    """Addresses to listen on; an empty ``metrics`` opens no such port."""
+    """Addresses to listen on; an empty ``metrics`` opens no such port.
+
+    ``relay`` takes requests from other nodes; if it is empty, it is the port
+    after that of ``peer``.
+    """
 
     caller: settings.Address
     directory: settings.Address
     readiness: settings.Address
     peer: settings.Address
     metrics: str = ''
+    relay: str = ''
+
+    def relay_address(self) -> str:
+        """Returns the address that takes requests from other nodes."""
+        host, _, port = self.peer.rpartition(':')
+        return self.relay or f'{host}:{int(port) and int(port) + 1}'
 
 
 class EdgeBounds(pydantic.BaseModel):
--- a/plantainway/platform/__init__.py
+++ b/plantainway/platform/__init__.py
@@ -13,6 +13,7 @@
 from plantainway.platform._names import CONFIG_TABLE
 from plantainway.platform._names import SETTINGS_VARIABLE
 from plantainway.platform._names import UPSTREAM_TABLE
+from plantainway.platform._relay import RelayClient
 from plantainway.platform._store import PlatformStore
 from plantainway.platform._upstreams import new_session
 from plantainway.platform._upstreams import RunnerClient
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -26,6 +26,8 @@
         _names.API_KEY,
         _names.DEADLINE_MS,
         _names.LAST_EVENT_ID,
+        _names.RELAYED_CONFIGURATION,
+        _names.RELAYED_RUNS,
         'Host',
     )
 )
@@ -86,15 +88,17 @@
     Args:
         gateway: Gateway that handles the decoded requests.
         clock: Source of monotonic time.
+        is_relay: Whether the requests come from other nodes.
 
     Attributes:
         is_closing: Set to true before the node stops; each answer then
             closes its connection.
     """
 
-    def __init__(self, gateway, clock):
+    def __init__(self, gateway, clock, is_relay: bool = False):
         self._gateway = gateway
         self._clock = clock
+        self._is_relay = is_relay
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
         self._busy_handlers = set()  # connections with a running request
@@ -195,7 +199,7 @@
         deadline_ms = _parse_number(
             headers.get(_names.DEADLINE_MS), DEFAULT_DEADLINE_MS
         )
-        return traffic.Request(
+        req = traffic.Request(
             request_id=headers.get(_names.REQUEST_ID, ''),
             method=http_request.method,
             target=http_request.raw_path,
@@ -219,6 +223,15 @@
                 headers.get(_names.PROMPT_PARTS, '')
             ),
         )
+        if self._is_relay:
+            req.is_relayed = True
+            req.max_runs = int(
+                _parse_number(headers.get(_names.RELAYED_RUNS), 1)
+            )
+            req.min_configuration = int(
+                _parse_number(headers.get(_names.RELAYED_CONFIGURATION), 0)
+            )
+        return req
 
     def _encode_response(self, req, answer: traffic.Response) -> web.Response:
         resp = web.Response(status=answer.status, body=answer.body)
--- a/plantainway/platform/_names.py
+++ b/plantainway/platform/_names.py
@@ -18,6 +18,11 @@
 STORE_ERA = 'Store-Era'
 TOKEN_COUNT = 'Token-Count'
 
+# Between nodes: how often a relayed request may run, and the version of the
+# configuration that the node has to know.
+RELAYED_RUNS = 'Plantainway-Runs'
+RELAYED_CONFIGURATION = 'Plantainway-Configuration'
+
 # Environment variable with the path of the node's settings file.
 SETTINGS_VARIABLE = 'PLANTAINWAY_SETTINGS'
 
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -180,6 +180,8 @@
         on_answer: Called with a runner and the rate that its answer names, in
             requests a second: ``None`` if it names none, NaN if that is
             unreadable. Answers of another runner at its address do not count.
+        on_unreached: Called with the name of a runner to which no connection
+            could be opened.
     """
 
     def __init__(self, pooled_session, unpooled_session, clock):
@@ -187,6 +189,14 @@
         self._unpooled_session = unpooled_session
         self._clock = clock
         self.on_answer = []
+        self.on_unreached = []
+
+    def _handle_unreached(self, upstream, exc) -> None:
+        if isinstance(
+            exc, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+        ):
+            for listener in self.on_unreached:
+                listener(upstream.name)
 
     def _handle_answer(self, upstream, resp) -> None:
         if resp.status == STATUS_MISDIRECTED:
@@ -218,6 +228,7 @@
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
         ) as exc:
+            self._handle_unreached(upstream, exc)
             raise errors.UpstreamError(
                 repr(exc)[:120], 'connect', upstream.name, sent=False
             )
@@ -244,12 +255,7 @@
 
     def _headers(self, attempt, remaining_ms) -> multidict.CIMultiDict:
         req = attempt.request
-        headers = multidict.CIMultiDict(
-            (name, value)
-            for name, value in req.headers
-            if name.lower() not in _REPLACED_HEADERS
-        )
-        headers['Host'] = req.host
+        headers = end_to_end_headers(req)
         headers[_names.DEADLINE_MS] = str(
             max(int(remaining_ms) - DEADLINE_MARGIN_MS, 1)
         )
@@ -309,6 +315,27 @@
             )
         self._handle_answer(upstream, resp)
 
+    async def is_reached(
+        self, upstream: deployment.Upstream, health_path: str | None
+    ) -> bool:
+        """Returns whether a runner answers anything on a new connection.
+
+        Args:
+            upstream: The runner.
+            health_path: Path of its health check, ``None`` for an engine,
+                which is asked for its report.
+        """
+        path = health_path or _names.REPORT_PATH
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                async with self._unpooled_session.get(
+                    f'http://{upstream.address}{path}',
+                    headers={_names.EXPECT_UPSTREAM: upstream.name},
+                ):
+                    return True
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     async def order(
         self, upstream: deployment.Upstream, order: supply.Order
     ) -> supply.OrderOutcome:
@@ -326,6 +353,7 @@
                 ) as resp:
                     await resp.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            self._handle_unreached(upstream, exc)
             return supply.OrderOutcome(
                 supply.OrderStatus.UNKNOWN, repr(exc)[:80]
             )
@@ -335,6 +363,21 @@
         )
 
 
+def end_to_end_headers(req) -> multidict.CIMultiDict:
+    """Returns a client's headers but those that nodes set themselves.
+
+    Args:
+        req: The request.
+    """
+    headers = multidict.CIMultiDict(
+        (name, value)
+        for name, value in req.headers
+        if name.lower() not in _REPLACED_HEADERS
+    )
+    headers['Host'] = req.host
+    return headers
+
+
 def _parse_rate_limit(headers, peer: str) -> float | None:
     """Returns the limit named in a response, NaN if it is unreadable."""
     text = headers.get(_names.RATE_LIMIT)
--- a/plantainway/traffic/__init__.py
+++ b/plantainway/traffic/__init__.py
@@ -6,9 +6,14 @@
 from plantainway.traffic._heads import HeadPool
 from plantainway.traffic._heads import MAX_QUEUED_PER_GROUP
 from plantainway.traffic._health import HealthTracker
+from plantainway.traffic._links import choose_checked
+from plantainway.traffic._links import LinkMonitor
 from plantainway.traffic._loads import LoadTracker
 from plantainway.traffic._outcomes import OutcomeRecorder
 from plantainway.traffic._rates import RateGate
+from plantainway.traffic._relay import BaseRelayClient
+from plantainway.traffic._relay import Relay
+from plantainway.traffic._relay import RelayedAttempt
 from plantainway.traffic._stalls import StallDetector
 from plantainway.traffic._types import Attempt
 from plantainway.traffic._types import BasePermitSource
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -11,10 +11,12 @@
 from plantainway.traffic import _budget
 from plantainway.traffic import _heads
 from plantainway.traffic import _health
+from plantainway.traffic import _links
 from plantainway.traffic import _loads
 from plantainway.traffic import _outcomes
 from plantainway.traffic import _plain
 from plantainway.traffic import _rates
+from plantainway.traffic import _relay
 from plantainway.traffic import _stalls
 from plantainway.traffic import _stream
 from plantainway.traffic import _types
@@ -43,6 +45,8 @@
     quarantine: quarantines.Quarantine
     evidence: quarantines.EvidenceRecorder
     rates: _rates.RateGate
+    links: _links.LinkMonitor
+    relay: _relay.Relay
     on_failure: collections.abc.Callable | None = None
     on_stream_request: collections.abc.Callable | None = None
 
@@ -77,16 +81,24 @@
             UpstreamError: If no response came.
         """
         self.outcomes.record_attempt(attempt.is_repeated)
-        return await self.client.send(attempt)
+        response = await self.client.send(attempt)
+        self.links.record_contact()
+        return response
 
     def record_failure(self, upstream, reason: str, eject_now=False) -> None:
         """Counts a failure of an upstream and calls ``on_failure``.
 
+        While this node has lost its links, nothing is counted against the
+        upstream.
+
         Args:
             upstream: The upstream.
             reason: What went wrong, passed to ``on_failure``.
             eject_now: Whether this failure alone ejects the upstream.
         """
+        self.links.record_failure(upstream.name)
+        if self.links.is_lost:
+            return
         ejected = self.health.record_failure(upstream.name, eject_now)
         if self.on_failure is not None:
             self.on_failure(upstream, reason, ejected)
@@ -117,6 +129,7 @@
             cfg: A newer configuration than the current one.
         """
         self._cfg = cfg
+        self._deps.relay.configuration = cfg.version
 
     def limits(self) -> deployment.Limits:
         """Returns the limits in force, defaults before any configuration."""
@@ -147,6 +160,12 @@
                     retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
                     reason='configuration not loaded yet',
                 )
+            elif cfg.version < req.min_configuration:
+                response = _types.Response(
+                    503,
+                    retry_after_s=NO_CONFIGURATION_RETRY_AFTER_S,
+                    reason='configuration is older than at the other node',
+                )
             else:
                 route = cfg.routes.find(req.host.partition(':')[0], req.path)
                 response = await self._handle(req, route, cfg, sink)
--- a/plantainway/traffic/_health.py
+++ b/plantainway/traffic/_health.py
@@ -93,6 +93,10 @@
         outcomes.consecutive_failures = EJECT_AFTER_FAILURES - 1
         return True
 
+    def reset(self) -> None:
+        """Drops all outcomes, since they show nothing about upstreams."""
+        self._outcomes.clear()
+
     def forget(self, name: str) -> None:
         """Drops the outcomes of an upstream that no longer exists.
 
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -108,6 +108,8 @@
         """
         deps = self._deps
         deadline = min(req.deadline, req.arrived_at + route.timeout_ms / 1000)
+        run_limit = req.run_limit(route)
+        unreached = 0
         tried_names = set()
         sent_names = set()
         runs = 0
@@ -119,6 +121,9 @@
             deadline,
         )
         for sends in range(MAX_SENDS):
+            may_run = runs == 0 or route.is_idempotent
+            if may_run and deps.relay.is_needed(req, unreached):
+                return await self._relay(req, deadline, run_limit, runs)
             candidates = self._candidates(service, tried_names)
             if not candidates and runs == 0:
                 tried_names.clear()
@@ -139,7 +144,7 @@
             except errors.NotRunError as exc:
                 refused = exc
                 break
-            is_last = runs + 1 >= route.max_attempts
+            is_last = runs + 1 >= run_limit
             attempt = _types.Attempt(
                 req,
                 upstream,
@@ -158,9 +163,10 @@
             if result.response is not None and not result.is_server_error:
                 return result.response
             runs += result.may_have_run
+            unreached += result.is_unreached
             last_response = result.response or last_response
             may_retry = not result.may_have_run or (
-                route.is_idempotent and runs < route.max_attempts
+                route.is_idempotent and runs < run_limit
             )
             deps.outcomes.log_decision(
                 req,
@@ -196,6 +202,29 @@
             BAD_GATEWAY, reason='outcome unknown, request may have run'
         )
 
+    async def _relay(self, req, deadline, run_limit: int, runs: int):
+        """Serves a request through another node.
+
+        Runs at upstreams that are cut off from this node do not count, as
+        their answers can't arrive.
+
+        Args:
+            req: The request.
+            deadline: Monotonic seconds.
+            run_limit: How often the request may run.
+            runs: How often it may have run.
+        """
+        try:
+            async with asyncio.timeout(deadline - self._deps.clock.now()):
+                response = await self._deps.relay.serve(
+                    req, deadline, max(run_limit - runs, 1), None
+                )
+        except TimeoutError:
+            return _types.Response(GATEWAY_TIMEOUT, reason='deadline passed')
+        if runs and response.status == 503 and response.reason:
+            return _types.Response(BAD_GATEWAY, reason=response.reason)
+        return response
+
     async def _run_attempt(self, attempt, route, is_last: bool):
         deps = self._deps
         req, upstream = attempt.request, attempt.upstream
@@ -223,7 +252,9 @@
             if exc.sent:
                 deps.evidence.record_cut_off(upstream, req.crash_keys)
             deps.record_failure(upstream, exc.message, eject_now=not exc.sent)
-            return _AttemptResult(None, exc.sent, exc.message)
+            return _AttemptResult(
+                None, exc.sent, exc.message, is_unreached=not exc.sent
+            )
         finally:
             deps.loads.decrement(upstream.name)
             if upstream_response is not None:
@@ -270,9 +301,23 @@
 class _AttemptResult:
     """Outcome of one attempt."""
 
-    __slots__ = ('response', 'may_have_run', 'reason', 'is_server_error')
+    __slots__ = (
+        'response',
+        'may_have_run',
+        'reason',
+        'is_server_error',
+        'is_unreached',
+    )
 
-    def __init__(self, response, may_have_run, reason, is_server_error=False):
+    def __init__(
+        self,
+        response,
+        may_have_run,
+        reason,
+        is_server_error=False,
+        is_unreached=False,
+    ):
+        self.is_unreached = is_unreached
         self.response = response
         self.may_have_run = may_have_run
         self.reason = reason
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -40,7 +40,8 @@
     """State of one streamed response over all its attempts.
 
     ``runs`` counts the attempts that may have run at an upstream, ``sends``
-    all that were sent. ``is_started`` tells whether the client has received
+    all that were sent, ``unreached`` those for which no connection could be
+    opened. ``is_started`` tells whether the client has received
     status and headers, ``is_attempt_running`` whether an attempt is in
     progress that may run. ``lost_heads`` are those at which the stream
     stalled or broke off. Times are monotonic seconds.
@@ -63,6 +64,7 @@
     error_response: _types.Response | None = None
     reason: str = ''
     lost_heads: list = dataclasses.field(default_factory=list)
+    unreached: int = 0
     is_attempt_running: bool = False
     longest_pass_s: float = 0.0
 
@@ -149,6 +151,10 @@
         """Makes attempts until one completes; returns whether one did."""
         deps = self._deps
         while state.sends < MAX_SENDS:
+            if deps.relay.is_needed(state.req, state.unreached):
+                may_run = state.route.is_idempotent or state.runs == 0
+                if may_run:
+                    return await self._relay(state, sink)
             if state.sends and not deps.budget.try_take(state.service):
                 state.reason = 'retry budget exhausted'
                 return False
@@ -201,6 +207,12 @@
         runs = state.runs + uncounted_runs
         if not state.route.is_idempotent:
             return runs == 0
+        if self._deps.relay.is_needed(state.req):
+            return True  # the heads are cut off from this node
+        return self._remaining_runs(state, uncounted_runs) > 0
+
+    def _remaining_runs(self, state, uncounted_runs: int = 0) -> int:
+        runs = state.runs + uncounted_runs
         upstreams = self._deps.upstreams
         ended_heads = 0
         for head in state.lost_heads:
@@ -208,7 +220,28 @@
             ended_heads += (
                 current is None or current.started_ms != head.started_ms
             )
-        return runs - ended_heads < state.route.max_attempts
+        return state.req.run_limit(state.route) - (runs - ended_heads)
+
+    async def _relay(self, state, sink) -> bool:
+        """Serves the rest of a stream through another node.
+
+        Returns:
+            Whether the sink was used; otherwise there is an error response.
+        """
+        response = await self._deps.relay.serve(
+            state.req,
+            state.deadline,
+            max(self._remaining_runs(state), 1),
+            sink,
+            resumed=(state.last_event_id or 0) if state.is_started else None,
+        )
+        if response is None:
+            return True
+        if state.runs and response.status == 503 and response.reason:
+            response = _types.Response(502, reason=response.reason)
+        state.error_response = response
+        state.reason = response.reason
+        return False
 
     def _retry_after_s(self, state, exc) -> float:
         remaining_s = state.req.deadline - self._deps.clock.now()
@@ -322,6 +355,7 @@
                 state.runs += 1
             if exc.sent:
                 evidence.record_cut_off(head)
+            state.unreached += not exc.sent
             deps.record_failure(head, exc.message, eject_now=not exc.sent)
             return (
                 _AttemptResult.BROKEN if exc.sent else _AttemptResult.NOT_RUN
@@ -403,6 +437,7 @@
             if not events:
                 continue
             evidence.record_events(len(events))
+            deps.links.record_contact()
             now = deps.clock.now()
             if is_first_chunk:
                 deps.stalls.record_first_event(head.name, now - sent_at)
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -28,6 +28,9 @@
     have in common, which are all but the last, in their order.
     ``crash_keys`` are the ids under which crashes of upstreams are counted:
     the shared parts and, once the client account is known, the fingerprint.
+    ``is_relayed`` tells whether another node sent the request on; it may then
+    run at most ``max_runs`` times, and only under a configuration of version
+    ``min_configuration`` or later.
     """
 
     request_id: str
@@ -46,6 +49,9 @@
     last_event_id: int | None = None
     shared_parts: tuple[str, ...] = ()
     crash_keys: tuple[str, ...] = ()
+    is_relayed: bool = False
+    max_runs: int | None = None
+    min_configuration: int = 0
 
     def __post_init__(self):
         self.crash_keys = self.crash_keys or self.shared_parts
@@ -63,6 +69,16 @@
         fingerprint = quarantine.FINGERPRINT_PREFIX + digest.hexdigest()
         self.crash_keys = (*self.shared_parts, fingerprint)
 
+    def run_limit(self, route) -> int:
+        """Returns how often the request may run on this node.
+
+        Args:
+            route: Its route.
+        """
+        if self.max_runs is None:
+            return route.max_attempts
+        return min(self.max_runs, route.max_attempts)
+
     @property
     def path(self) -> str:
         """Returns the request target without the query."""
@@ -116,6 +132,8 @@
         signed: Whether the response carries the upstream's signature.
         failed_upstream: Name of an upstream that the response reports as
             failed, or empty.
+        retry_after_s: Seconds after which a refused request may be sent
+            again, 0 if the response does not tell.
         ends_with_connection: Whether the body has neither a length nor
             chunks, so that only the end of the connection ends it.
     """
@@ -126,6 +144,7 @@
     misdirected: bool
     signed: bool
     failed_upstream: str = ''
+    retry_after_s: float = 0.0
     ends_with_connection: bool = False
 
     @abc.abstractmethod
