Ask other nodes before an engine counts as lost

Cause: the leader's probes were the only witness. Connections that were refused or hung counted as engines that are gone, their groups as broken, and cut-off prompts as crashes of these engines.

Change: up to five other nodes are asked about an engine that does not answer the leader's first probe, while it is probed again. One that reaches it speaks against the loss. A node whose own links are cut says nothing; if nobody answers in 0.5 s, the leader's word counts if it reaches any upstream. An answer of another incarnation, and the entry, need no witness. A leader that has lost its links releases the lease to nodes that have not, and comes last among the candidates.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -137,6 +137,8 @@
             node.
         absent_nodes: Function that returns the nodes that are not in touch
             but may be using shares of limits; set by the node.
+        unreached: Function that returns the engines that the nodes are asked
+            about; set by the node.
         issue_permit: Function that answers a node's request for a permit;
             set by the node.
         on_link_ended: Called with the name of a node whose link has ended.
@@ -163,6 +165,7 @@
         self.quarantined_ms = dict
         self.limits = ratelimits.LimitBook(clock)
         self.absent_nodes = list
+        self.unreached = dict
         self.issue_permit = None
         self.on_link_ended = []
         self._links_at_renewal = 0
@@ -436,6 +439,7 @@
                 quarantined_ms=self.quarantined_ms(),
                 limits=self.limits.observations() if includes_limits else None,
                 absent=self.absent_nodes(),
+                unreached=self.unreached(),
             )
             shared.encoded[key] = _messages.encode_for_node(update)
         link.sent_nodes = shared.nodes
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -58,6 +58,8 @@
     send without a leader, by limited upstream. ``message_number`` is that of
     the last message of the leader on this link, 0 before the first, and
     ``message_age_ms`` the time since its receipt, or since the link was made.
+    ``reached`` answers the leader's questions whether the node reaches an
+    engine, by number.
     """
 
     info: NodeInfo
@@ -78,6 +80,7 @@
     shares: dict[str, int] = dataclasses.field(default_factory=dict)
     message_number: int = 0
     message_age_ms: int = 0
+    reached: dict[int, bool] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,7 +169,8 @@
     report, ``quarantined_ms`` is as in the heartbeat. ``limits`` are the
     known limits of upstreams, ``None`` if they are unchanged since the last
     update to this node; ``absent`` names the nodes that may be using shares
-    of them without being in touch.
+    of them without being in touch. ``unreached`` names engines that the
+    leader does not reach, by number of the question.
     """
 
     leader: str
@@ -181,6 +185,7 @@
     quarantined_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     limits: list[ratelimits.LimitObservation] | None = None
     absent: list[str] = dataclasses.field(default_factory=list)
+    unreached: dict[int, str] = dataclasses.field(default_factory=dict)
 
 
 _TAGS = {
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -19,6 +19,8 @@
 # waits this much longer: until each larger one has seen that the lease has
 # lapsed, for which an update's interval and a tick may pass.
 HALF_CAPACITY_DELAY_S = 0.9
+# A node without links to the upstreams leaves the lease to others for longer.
+BLIND_DELAY_S = 2.5
 
 
 class ElectionTask:
@@ -38,6 +40,8 @@
 
     Attributes:
         address: ``IP:PORT`` of this node's hub; set before ``run``.
+        is_blind: Function that returns whether this node has lost its links
+            to the upstreams while others have not; set by the node.
         on_renewal_attempt: Called after a renewal was written or failed,
             unless it raised an error or the lease was then released.
         on_acquired: Called after this node has become the leader.
@@ -59,6 +63,7 @@
         self._lease_read_at = float('-inf')
         self._link_task: asyncio.Task | None = None
         self.address = ''
+        self.is_blind = bool
         self._is_leaving = False
         self._led_term: int | None = None
         self.on_renewal_attempt = []
@@ -69,7 +74,9 @@
         while True:
             self._record_leadership()
             try:
-                if self._leadership.is_leader():
+                if self._may_hand_over():
+                    await self._hand_over()
+                elif self._leadership.is_leader():
                     await self._renew()
                 elif not self._is_following():
                     await self._acquire_or_follow()
@@ -112,6 +119,8 @@
         Prefers large nodes, since the processor time and the traffic of the
         leader grow with the number of nodes.
         """
+        if self.is_blind():
+            return self._random_delay_s + BLIND_DELAY_S
         known = [item.weight for item in self._leader_link.nodes]
         if known:
             missing = max(1.0 - self._capacity / max(known), 0.0)
@@ -134,6 +143,24 @@
         for listener in self.on_renewal_attempt:
             listener()
 
+    def _may_hand_over(self) -> bool:
+        """Returns whether another node should lead, and can.
+
+        During an outage of the store no node could acquire the lease.
+        """
+        return (
+            self._leadership.is_leader()
+            and self.is_blind()
+            and not self._is_extended
+        )
+
+    async def _hand_over(self) -> None:
+        """Releases the lease to a node that reaches the upstreams."""
+        logs.event('leadership_handed_over', term=self._leadership.term)
+        self._led_term = None
+        self._leader_link.nodes = self._hub.live_nodes()
+        await self._leadership.release()
+
     async def resign(self) -> None:
         """Releases the lease for good; called when this node shuts down.
 
--- a/plantainway/edge/_fleet.py
+++ b/plantainway/edge/_fleet.py
@@ -17,18 +17,20 @@
         leadership: Leader lease.
         clock: Source of monotonic time.
         spawn: Function that runs a coroutine as a task.
+        witness: Confirms that an engine is lost.
 
     Attributes:
         on_heads_changed: Called after a group was disbanded or its head
             opened.
     """
 
-    def __init__(self, view, client, leadership, clock, spawn):
+    def __init__(self, view, client, leadership, clock, spawn, witness):
         self._view = view
         self._client = client
         self._leadership = leadership
         self._clock = clock
         self._spawn = spawn
+        self._witness = witness
         self._controllers: dict[str, supply.GroupController] = {}
         self.on_heads_changed = []
         view.on_configuration.append(self._configure)
@@ -51,6 +53,7 @@
             self._spawn,
             self._view.upstreams_as_of,
             self._view.upstreams_settle_at,
+            self._witness,
         )
         controller.head_overrides.on_change.append(self._notify_heads_changed)
         self._controllers[service] = controller
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -16,17 +16,26 @@
         node_info: Function that returns this node's entry for the directory.
         shares: Function that returns what this node may send to limited
             upstreams without a leader.
+        answers: Function that returns this node's answers to the leader.
         clock: Source of monotonic time.
         window_s: Window of the retry budget in seconds.
     """
 
     def __init__(
-        self, view, dependencies, node_info, shares, clock, window_s: float
+        self,
+        view,
+        dependencies,
+        node_info,
+        shares,
+        answers,
+        clock,
+        window_s: float,
     ):
         self._view = view
         self._dependencies = dependencies
         self._node_info = node_info
         self._shares = shares
+        self._answers = answers
         self._clock = clock
         self._window_s = window_s
         self._suspected_until: dict[str, float] = {}
@@ -54,6 +63,7 @@
             ),
             quarantined_ms=self._dependencies.quarantine.remaining_ms(),
             shares=self._shares(),
+            reached=self._answers(),
         )
 
     def report_suspect(self, head: str) -> None:
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -18,6 +18,7 @@
 from plantainway.edge import _permits
 from plantainway.edge import _quarantine
 from plantainway.edge import _view
+from plantainway.edge import _witness
 from plantainway import errors
 from plantainway import logs
 from plantainway import metrics
@@ -114,6 +115,7 @@
             self._dependencies,
             self._node_info,
             self._shares.shares,
+            self._witness_task.answers,
             clock,
             cfg.bounds.retry_window_s,
         )
@@ -122,7 +124,12 @@
         )
         self._gateway = traffic.Gateway(self._dependencies, self._rng)
         self._controllers = _fleet.ControllerSet(
-            self._view, self._client, self._leadership, clock, self._spawn
+            self._view,
+            self._client,
+            self._leadership,
+            clock,
+            self._spawn,
+            self._witness,
         )
         self._quarantine = _quarantine.QuarantineTask(
             self._dependencies.quarantine,
@@ -217,6 +224,17 @@
         self._leader_link = cluster.HubClient(
             view.tables, self._heartbeat, clock
         )
+        self._witness = _witness.LossWitness(
+            self._relay_nodes, self._link_task, self._links
+        )
+        self._witness_task = _witness.WitnessTask(
+            cfg.node,
+            view,
+            self._link_task,
+            clock,
+            self._spawn,
+            self._leader_link.send_soon,
+        )
         self._issuer = ratelimits.PermitIssuer(cfg.node, self._limits, clock)
         self._limit_task = _permits.LimitTask(
             cfg.node,
@@ -259,11 +277,17 @@
         self._hub.quarantined_ms = dependencies.quarantine.remaining_ms
         self._hub.limits = self._leader_link.limits = self._limits
         self._hub.absent_nodes = self._issuer.absent_nodes
+        self._hub.unreached = self._witness.questions
+        self._witness.on_asked.append(self._hub.send_soon)
+        self._election.is_blind = self._is_blind
         self._hub.issue_permit = self._issuer.issue
         self._hub.on_link_ended.append(self._issuer.record_lost)
         self._hub.on_heartbeat.append(self._limit_task.handle_heartbeat)
         self._hub.on_heartbeat.append(self._handle_heartbeat)
         self._client.on_answer.append(self._limits.observe)
+        self._client.on_answer.append(
+            lambda _upstream, _rate: self._links.record_contact()
+        )
         self._client.on_unreached.append(self._links.record_unreached)
         self._links.on_change.append(self._handle_links_changed)
         self._limits.on_named.append(self._leader_link.send_soon)
@@ -377,6 +401,10 @@
             and not item.links_lost
         ]
 
+    def _is_blind(self) -> bool:
+        """Returns whether others reach the upstreams but not this node."""
+        return self._links.is_lost and bool(self._relay_nodes())
+
     def _handle_links_changed(self) -> None:
         if not self._links.is_lost:
             self._dependencies.health.reset()
@@ -421,14 +449,19 @@
     def _handle_heartbeat(self, beat, _delay_s: float) -> None:
         self._election.extend_if_late()
         self._controllers.record_work(self._hub.total_work())
-        self._controllers.probe_suspects(beat.suspects)
+        if not beat.info.links_lost:
+            self._controllers.probe_suspects(beat.suspects)
         self._quarantine.handle_heartbeat(beat)
+        self._witness.handle_answers(beat.info.node, beat.reached)
         self._leader_sync.update_other_loads(
             self._hub.total_loads(), self._dependencies.loads.local_counts
         )
 
     def _handle_leader_update(self, update) -> None:
         self._leadership.observe_renewal(update.lease_version)
+        self._witness_task.handle_questions(
+            update.leader, update.unreached, self._leader_link.nodes
+        )
         is_asked = self._leader_sync.apply_update(
             update, len(self._leader_link.nodes), self._leader_link.sent_loads
         )
--- a/plantainway/errors.py
+++ b/plantainway/errors.py
@@ -235,6 +235,8 @@
         sent: Whether any byte of the request may have reached it.
         refused: Whether no process, or that of another upstream, listens at
             its address.
+        answered: Whether the error is that of an answer, which shows that the
+            upstream is reached.
     """
 
     code = 'upstream_failed'
@@ -247,10 +249,12 @@
         peer: str = '',
         sent: bool = True,
         refused: bool = False,
+        answered: bool = False,
     ):
         super().__init__(message, step, peer)
         self.sent = sent
         self.refused = refused
+        self.answered = answered
 
 
 class OrderRefusedError(UpstreamError):
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -292,6 +292,7 @@
                 'report',
                 upstream.name,
                 refused=resp.status == STATUS_MISDIRECTED,
+                answered=True,
             )
         report = _messages.decode_report(body)
         if report.started_ms in (0, upstream.started_ms):
--- a/plantainway/supply/__init__.py
+++ b/plantainway/supply/__init__.py
@@ -7,3 +7,4 @@
 from plantainway.supply._orders import OrderKind
 from plantainway.supply._orders import OrderOutcome
 from plantainway.supply._orders import OrderStatus
+from plantainway.supply._witness import BaseLossWitness
--- a/plantainway/supply/_contacts.py
+++ b/plantainway/supply/_contacts.py
@@ -1,5 +1,6 @@
 """State of engines from their store entries, reports and probes."""
 
+import asyncio
 import collections
 import dataclasses
 
@@ -7,6 +8,7 @@
 from plantainway import errors
 from plantainway import logs
 from plantainway.supply import _state
+from plantainway.supply import _witness
 
 REPORT_POLL_INTERVAL_S = 0.3  # while entries do not show the effect of orders
 REPORT_LAG_S = 1.0  # reports are some hundred ms old when they arrive
@@ -31,6 +33,7 @@
         client: Client of the engines.
         clock: Source of monotonic time.
         spawn: Function that runs a coroutine as a task.
+        witness: Confirms that an engine is lost.
 
     Attributes:
         service: Name of the service.
@@ -38,12 +41,13 @@
             an engine that it had not found the time before.
     """
 
-    def __init__(self, service, upstreams, client, clock, spawn):
+    def __init__(self, service, upstreams, client, clock, spawn, witness):
         self.service = service
         self._upstreams = upstreams
         self._client = client
         self._clock = clock
         self._spawn = spawn
+        self._witness = witness
         self._probe_states: dict[str, _ProbeState] = {}
         self._removed: dict[str, tuple[float, deployment.Upstream]] = {}
         self._known_names: frozenset = frozenset()
@@ -173,6 +177,7 @@
             self._spawn(self._probe(name, probe))
 
     async def _probe(self, name: str, probe: '_ProbeState') -> None:
+        opinion = None
         try:
             for _attempt in range(SILENT_AFTER_FAILURES):
                 upstream = self.find(name)
@@ -185,8 +190,13 @@
                     _check_incarnation(upstream, report)
                 except (errors.UpstreamError, errors.WireError) as exc:
                     probe.record_failure(sent_at, exc)
+                    if opinion is None:
+                        opinion = self._ask_witness(upstream, probe, exc)
                     if not probe.is_gone and not probe.is_silent:
                         continue
+                    if not await opinion:
+                        probe.record_link_failure()
+                        return
                     if not probe.is_lost:
                         logs.event(
                             'engine_lost',
@@ -202,6 +212,19 @@
                 return
         finally:
             probe.is_probing = False
+            if opinion is not None:
+                opinion.cancel()
+
+    def _ask_witness(self, upstream, probe, exc) -> asyncio.Future:
+        """Asks whether an engine is lost, in parallel with further probes.
+
+        An answer shows by itself that another engine has the address, and an
+        engine that is known to be lost is not asked about again.
+        """
+        witness = self._witness
+        if probe.is_lost or getattr(exc, 'answered', True):
+            witness = _witness.OwnEvidence()
+        return asyncio.ensure_future(witness.is_lost(upstream))
 
     def is_gone(self, name: str, started_ms: int) -> bool:
         """Returns whether the last probe found an incarnation to be gone.
@@ -211,7 +234,12 @@
             started_ms: Start of the incarnation.
         """
         probe = self._probe_states.get(name)
-        return probe is not None and probe.born == started_ms and probe.is_gone
+        return (
+            probe is not None
+            and probe.born == started_ms
+            and probe.is_gone
+            and probe.is_lost
+        )
 
     def find(self, name: str) -> deployment.Upstream | None:
         """Returns the last entry of an engine, ``None`` if it is unknown.
@@ -240,6 +268,7 @@
             'report',
             upstream.name,
             refused=True,
+            answered=True,
         )
 
 
@@ -247,7 +276,8 @@
     """Results of the probes of one engine and times of the next ones.
 
     ``is_gone`` is set if the last request showed that the engine is gone
-    from its address, ``is_lost`` once the loss of the engine was logged.
+    from its address, ``is_lost`` once the loss of the engine was confirmed
+    and logged.
     """
 
     def __init__(self):
@@ -307,15 +337,24 @@
             self.silent_since = sent_at
         self.is_gone = getattr(exc, 'refused', False)
 
+    def record_link_failure(self) -> None:
+        """Drops the failures of a probe, since other nodes reach the engine.
+
+        It is probed again, as one that did not answer.
+        """
+        silent_since = self.silent_since
+        self._reset_failures()
+        self.silent_since = silent_since
+
     def status(self, upstream, as_of: float, now: float):
         """Returns the status of the engine from its entry and probes."""
         self.reset_if_restarted(upstream.started_ms)
         upstream = self._newest_entry(upstream, as_of, now)
-        if self.is_gone:
+        if self.is_gone and self.is_lost:
             return _state.EngineStatus(
                 upstream, _state.Reachability.GONE, self.silent_since
             )
-        if self.is_silent:
+        if self.is_silent and self.is_lost:
             return _state.EngineStatus(
                 upstream, _state.Reachability.SILENT, self.silent_since
             )
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -15,6 +15,7 @@
 from plantainway.supply import _repair
 from plantainway.supply import _state
 from plantainway.supply import _warming
+from plantainway.supply import _witness
 
 EPOCHS_PER_TERM = 100000  # limit of one term; epochs grow across terms
 PLAN_INTERVAL_S = 0.1  # short beside a repair, which takes 1.4 s or more
@@ -51,6 +52,8 @@
             upstream book was last known to be current.
         settles_at: Function that returns the monotonic time until which
             entries may still show their state from before an outage.
+        witness: Confirms that an engine is lost; by default this node's own
+            evidence suffices.
 
     Attributes:
         service: Name of the service.
@@ -67,6 +70,7 @@
         spawn,
         current_as_of,
         settles_at,
+        witness=None,
     ):
         self.service = service
         self._client = client
@@ -78,7 +82,12 @@
         self._pending_term_since = float('-inf')
         self._pending_term = 0
         self._engines = _contacts.EngineTracker(
-            service, upstreams, client, clock, spawn
+            service,
+            upstreams,
+            client,
+            clock,
+            spawn,
+            witness or _witness.OwnEvidence(),
         )
         self._releases = _releases.ReleaseTracker()
         self._groups: dict[str, _state.GroupRecord] = {}
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -81,9 +81,7 @@
             UpstreamError: If no response came.
         """
         self.outcomes.record_attempt(attempt.is_repeated)
-        response = await self.client.send(attempt)
-        self.links.record_contact()
-        return response
+        return await self.client.send(attempt)
 
     def record_failure(self, upstream, reason: str, eject_now=False) -> None:
         """Counts a failure of an upstream and calls ``on_failure``.
--- a/plantainway/traffic/_links.py
+++ b/plantainway/traffic/_links.py
@@ -8,7 +8,8 @@
 FAILURES_MIN = 2
 # Upstreams that refuse new connections; open ones may live on meanwhile.
 UNREACHED_MIN = 3
-FAILURE_TTL_S = 2.0
+FAILURE_TTL_S = 5.0  # requests wait seconds for an upstream that is silent
+UNREACHED_TTL_S = 2.0
 CHECKED_UPSTREAMS = 4  # in one check, of different failure domains
 # Rounds without any answer after which the links count as lost.
 FAILED_CHECKS_MIN = 2
@@ -72,12 +73,14 @@
         """Returns whether the links should be checked."""
         return (
             self.is_lost
-            or self._count_recent(self._failed_at) >= FAILURES_MIN
-            or self._count_recent(self._unreached_at) >= UNREACHED_MIN
+            or self._count_recent(self._failed_at, FAILURE_TTL_S)
+            >= FAILURES_MIN
+            or self._count_recent(self._unreached_at, UNREACHED_TTL_S)
+            >= UNREACHED_MIN
         )
 
-    def _count_recent(self, failed_at: dict[str, float]) -> int:
-        oldest = self._clock.now() - FAILURE_TTL_S
+    def _count_recent(self, failed_at: dict[str, float], ttl_s) -> int:
+        oldest = self._clock.now() - ttl_s
         for name in [name for name, at in failed_at.items() if at < oldest]:
             del failed_at[name]
         return len(failed_at)
