Skip entries with numbers or addresses that no runner has

Operators of similar systems: another writer left an odd entry among those of the runners, and nodes ended or stopped following the list.

Here nodes went on, but used such entries: 21 of 29 values named a runner. A port out of range raised an error outside of the one place that expects it, and clients got 500 or 502; an epoch of 10**30 would have become the base of all later terms and epochs, which runners refuse. Nested and unreadable entries were skipped already.

Addresses, epochs, ranks, slots and start times are now checked where entries and reports are decoded. All 29 rows pass, as does a test of three nodes that serve, change the leader and form a group beside all of them; it failed before.

--- a/plantainway/platform/_messages.py
+++ b/plantainway/platform/_messages.py
@@ -1,5 +1,6 @@
 """Decodes message bodies of the platform into the project's types."""
 
+import ipaddress
 import json
 import typing
 
@@ -17,6 +18,34 @@
 StrictString = pydantic.StrictStr
 StrictInteger = pydantic.StrictInt
 
+# Bounds of an entry's numbers. Other writers may store any, and the next ones
+# are derived from an epoch.
+EPOCH_MAX = 1 << 48
+TIME_MS_MAX = 1 << 53
+SLOTS_MAX = 100000
+RANK_MAX = 100000
+PORT_MAX = 65535
+
+
+def _check_address(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    ipaddress.ip_address(
+        host[1:-1] if host.startswith('[') and host.endswith(']') else host
+    )
+    if not port.isascii() or not port.isdigit():
+        raise ValueError('port is no number')
+    if not 0 < int(port) <= PORT_MAX:
+        raise ValueError('port out of range')
+    return text
+
+
+_Address = typing.Annotated[
+    StrictString,
+    pydantic.StringConstraints(max_length=64),
+    pydantic.AfterValidator(_check_address),
+]
+_TimeMs = typing.Annotated[StrictInteger, pydantic.Field(ge=0, le=TIME_MS_MAX)]
+
 
 class _ServiceShare(_Body):
     service: StrictString
@@ -162,18 +191,18 @@
 
 class _Group(_Body):
     name: StrictString
-    epoch: StrictInteger
-    rank: StrictInteger
+    epoch: StrictInteger = pydantic.Field(ge=0, le=EPOCH_MAX)
+    rank: StrictInteger = pydantic.Field(ge=0, le=RANK_MAX)
     state: deployment.GroupState
 
 
 class _UpstreamEntry(_Body):
     service: StrictString
-    address: StrictString
+    address: _Address
     zone: StrictString = ''
-    slots: StrictInteger = 1
+    slots: StrictInteger = pydantic.Field(1, ge=1, le=SLOTS_MAX)
     state: typing.Literal['ready', 'draining']
-    born: StrictInteger = 0  # start time in Unix milliseconds
+    born: _TimeMs = 0  # start time in Unix milliseconds
     domain: str | int = ''
     staged: list[str] = []
     models: list[_ServedModel] = []
@@ -187,7 +216,7 @@
     active: int = 0
     kv_used: int = pydantic.Field(0, alias='kvInUse')
     pace: float = 1.0
-    born: StrictInteger = 0
+    born: _TimeMs = 0
     staged: list[str] = []
     group: _Group | None = None
 
