Answer late requests before a stopping node ends

Operators of similar systems: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end with no answer, among them ones that may not be repeated (LOST).

It happened here: close() cancels the handlers of requests that are still at a runner, and their connections end without an answer.

Now each request runs inside a scope that expires 0.2 s before the node closes: what has no answer yet gets 504, which promises nothing, and a stream that has begun is aborted as before. Requests that come after the longest time for which clients keep an answer of the directory are refused as not run if they may last until after that.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -507,6 +507,27 @@
         'if False:',
         'tests/quarantine',
     ),
+    Mutant(
+        'requests are answered before a node ends',
+        'plantainway/traffic/_gateway.py',
+        'scope.reschedule(self._loop_time_of(ends_at))',
+        'pass',
+        'tests/platform/test_late_requests.py',
+    ),
+    Mutant(
+        'late requests that may not end in time are refused',
+        'plantainway/traffic/_gateway.py',
+        'return lasts_until > self._ends_at',
+        'return False',
+        'tests/platform/test_late_requests.py',
+    ),
+    Mutant(
+        'addresses of entries are checked',
+        'plantainway/platform/_messages.py',
+        'if not 0 < int(port) <= PORT_MAX:',
+        'if False:',
+        'tests/platform/test_odd_entries.py',
+    ),
     Mutant(
         'links are lost only after two checks',
         'plantainway/traffic/_links.py',
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -33,6 +33,7 @@
 DIRECTORY_TTL_FACTOR_MAX = 3.0
 TASK_RESTART_PAUSE_S = 0.5
 STOP_MARGIN_S = 0.3  # for closing all sockets before SIGKILL
+ANSWER_MARGIN_S = 0.2  # for sending the last answers before that
 
 
 class EdgeNode:
@@ -486,9 +487,9 @@
 
         Leaves the directory and releases the lease if this node leads.
         Accepts requests until no client can have a cached answer with this
-        address. Then waits for the requests in progress, until shortly
-        before SIGKILL at the latest, and closes the node. Returns at once if
-        the node is stopping already.
+        address, the last ones only if they end in time. Then waits for the
+        requests in progress, until shortly before SIGKILL at the latest, and
+        closes the node. Returns at once if the node is stopping already.
         """
         if self._is_leaving:
             return
@@ -503,11 +504,14 @@
         self._relay_ingress.is_closing = True
         self._leader_link.send_soon()
         self._hub.send_soon()
-        await self._election.resign()
-        # Until then clients may still have this address cached.
         directory_ttl_max_s = (
             self.cfg.bounds.directory_ttl_s * DIRECTORY_TTL_FACTOR_MAX
         )
+        self._gateway.end_at(
+            stop_at - ANSWER_MARGIN_S, self._clock.now() + directory_ttl_max_s
+        )
+        await self._election.resign()
+        # Until then clients may still have this address cached.
         accept_until = (
             self._clock.now() + directory_ttl_max_s + LATE_CLIENT_WAIT_S
         )
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -62,6 +62,7 @@
             resp.force_close()
         resp.enable_chunked_encoding()
         self.response = resp
+        self.is_started = True
         await resp.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -1,5 +1,6 @@
 """Entry point of requests: finds route, client account and service."""
 
+import asyncio
 import collections.abc
 import dataclasses
 import random
@@ -22,6 +23,8 @@
 from plantainway.traffic import _types
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # it is read within about 20 ms
+LEAVING_RETRY_AFTER_S = 0.05  # other nodes take the request at once
+GATEWAY_TIMEOUT = 504
 
 
 @dataclasses.dataclass
@@ -118,6 +121,9 @@
         self._plain = _plain.PlainRunner(deps)
         self._stream = _stream.StreamRunner(deps)
         self._cfg: deployment.Configuration | None = None
+        self._scopes: set[asyncio.Timeout] = set()
+        self._ends_at: float | None = None
+        self._refuses_long_from = float('inf')
         self.in_progress = 0
 
     def configure(self, cfg: deployment.Configuration) -> None:
@@ -129,6 +135,36 @@
         self._cfg = cfg
         self._deps.relay.configuration = cfg.version
 
+    def end_at(self, ends_at: float, refuse_long_from: float) -> None:
+        """Sets when this node has to have answered all requests.
+
+        Requests that are still unanswered then get 504, streams that have
+        begun are aborted.
+
+        Args:
+            ends_at: Monotonic seconds.
+            refuse_long_from: Monotonic seconds from which requests are refused
+                that may last until after ``ends_at``. Clients that come so
+                late have an old answer of the directory.
+        """
+        self._ends_at = ends_at
+        self._refuses_long_from = refuse_long_from
+        for scope in self._scopes:
+            if scope.when() is None:
+                scope.reschedule(self._loop_time_of(ends_at))
+
+    def _loop_time_of(self, at: float) -> float:
+        loop = asyncio.get_running_loop()
+        return loop.time() + at - self._deps.clock.now()
+
+    def _is_too_late(self, req, route) -> bool:
+        if self._deps.clock.now() < self._refuses_long_from:
+            return False
+        lasts_until = min(
+            req.deadline, req.arrived_at + route.timeout_ms / 1000
+        )
+        return lasts_until > self._ends_at
+
     def limits(self) -> deployment.Limits:
         """Returns the limits in force, defaults before any configuration."""
         return self._cfg.limits if self._cfg else deployment.Limits()
@@ -166,7 +202,7 @@
                 )
             else:
                 route = cfg.routes.find(req.host.partition(':')[0], req.path)
-                response = await self._handle(req, route, cfg, sink)
+                response = await self._handle_in_time(req, route, cfg, sink)
             end = _end_label(response)
             return response
         finally:
@@ -180,6 +216,26 @@
                 configuration=cfg.version if cfg else 0,
             )
 
+    async def _handle_in_time(self, req, route, cfg, sink):
+        """Handles a request until this node ends at the latest."""
+        when = None
+        if self._ends_at is not None:
+            when = self._loop_time_of(self._ends_at)
+        scope = asyncio.timeout_at(when)
+        self._scopes.add(scope)
+        try:
+            async with scope:
+                return await self._handle(req, route, cfg, sink)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            if sink is not None and sink.is_started:
+                sink.abort()
+                return None
+            return _types.Response(GATEWAY_TIMEOUT, reason='node ends')
+        finally:
+            self._scopes.discard(scope)
+
     async def _handle(self, req, route, cfg, sink):
         if route is None:
             return _types.Response(
@@ -194,6 +250,12 @@
             account_name = account.name
             if account.priority is not None:
                 priority = account.priority
+        if self._is_too_late(req, route):
+            return _types.Response(
+                503,
+                retry_after_s=LEAVING_RETRY_AFTER_S,
+                reason='node ends before the request may',
+            )
         service = _choose_service(route, self._rng)
         if service is None:
             return _types.Response(503, reason='route has no weighted service')
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -236,7 +236,13 @@
 
 
 class BaseSink(abc.ABC):
-    """Sends a streamed response to a client."""
+    """Sends a streamed response to a client.
+
+    Attributes:
+        is_started: Whether status and headers were sent.
+    """
+
+    is_started: bool = False
 
     @abc.abstractmethod
     async def start(self, status: int, headers) -> None:
--- /dev/null
+++ b/tests/platform/test_late_requests.py
@@ -0,0 +1,108 @@
+"""Tests of requests that a node takes shortly before it has to end."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.platform import conftest
+
+STOP_S = 1.6  # between SIGTERM and SIGKILL
+
+
+@pytest.fixture
+async def short_node(store, runners):
+    """A node that has little time to stop."""
+    cfg = conftest.settings('n1', store.address, stop_s=STOP_S)
+    async with conftest.running(cfg) as node:
+        await conftest.until(node.is_ready, 'ready')
+        await conftest.until(
+            lambda: node.open_head_count('llm', 'm0') == 2, 'heads seen'
+        )
+        yield node
+
+
+@pytest.mark.parametrize('late_s', [0.0, 0.2])
+@pytest.mark.parametrize(
+    'path, status',
+    [('/safe/x', 504), ('/unsafe/x', 504), ('/stream/x', 504)],
+)
+async def test_request_at_a_silent_runner_is_answered_before_the_node_ends(
+    short_node, runners, client, path, status, late_s
+):
+    """Whether it came before SIGTERM or in the time in which clients leave."""
+    for runner in runners.values():
+        runner.faults.answer = 'hang'
+    loop = asyncio.get_running_loop()
+    stop_at = loop.time() + STOP_S
+
+    async def send():
+        await asyncio.sleep(late_s)
+        return await conftest.send_request(
+            client,
+            short_node,
+            path,
+            'POST',
+            Model='m0',
+            Token_Count='10,10',
+            Deadline_Ms='8000',
+        )
+
+    task = asyncio.ensure_future(send())
+    await asyncio.sleep(0.05)
+    await short_node.stop()
+    assert loop.time() < stop_at
+    got = await task
+    assert (got.status, got.is_whole) == (status, True)
+    if path == '/unsafe/x':
+        assert sum(len(runner.seen) for runner in runners.values()) == 1
+
+
+async def test_stream_that_has_begun_is_not_complete_when_the_node_ends(
+    short_node, runners, client
+):
+    """Its client resumes it elsewhere."""
+    for runner in runners.values():
+        runner.faults.stream_end, runner.faults.events = 'silent', 2
+    task = asyncio.ensure_future(
+        conftest.send_request(
+            client,
+            short_node,
+            '/once/x',
+            'POST',
+            Model='m0',
+            Token_Count='10,10',
+            Deadline_Ms='8000',
+        )
+    )
+    await asyncio.sleep(0.1)
+    await short_node.stop()
+    got = await task
+    assert (got.status, got.is_whole) == (200, False)
+    assert got.body.count(b'data') == 2
+
+
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
+async def test_request_that_can_not_end_before_the_node_is_refused(
+    short_node, runners, client, path
+):
+    """It is not sent, and the connection is closed."""
+    task = asyncio.ensure_future(short_node.stop())
+    await asyncio.sleep(0.4)
+    try:
+        got = await conftest.send_request(
+            client,
+            short_node,
+            path,
+            'POST',
+            Model='m0',
+            Token_Count='10,10',
+            Deadline_Ms='8000',
+        )
+        assert (got.status, got.is_whole) == (503, True)
+        assert float(got.headers['Retry-After']) > 0
+        assert got.headers['Connection'] == 'close'
+    except aiohttp.ClientConnectionError:
+        pytest.fail('the node accepts no requests any more')
+    assert not any(runner.seen for runner in runners.values())
+    await task
