--- a/tests/edge/test_witness.py
+++ b/tests/edge/test_witness.py
@@ -103,6 +103,14 @@
     assert found == set(lost)
 
 
+async def test_leader_among_many_nodes_that_are_cut_off_takes_none_for_lost():
+    """All witnesses of some engines are cut off, too."""
+    cut = {
+        (f'n{n}', f'e{e}') for n in range(NODES - 1) for e in range(ENGINES)
+    }
+    assert await Cluster(cut).lost_engines() == set()
+
+
 @pytest.mark.parametrize('seed', range(20))
 async def test_cut_of_some_links_makes_no_engine_lost(seed):
     """Each engine loses its links to three nodes in ten."""
