--- a/review/2/case.py
+++ b/review/2/case.py
@@ -44,6 +44,8 @@
     for number in range(ROUNDS):
         breaches += await play_round(world, number, rng)
         await asyncio.sleep(PAUSE_S)
+    if not any(runner.runs for runner in world.all_runners()):
+        raise RuntimeError('no stream began')
     return breaches
 
 
@@ -67,8 +69,6 @@
         world.record(f'{second.name} goes on')
         second.signal(signal.SIGCONT)
     answers = await asyncio.gather(*asks)
-    if not any(resp is not None and resp.body for resp in answers):
-        raise RuntimeError('no stream began')
     return [
         f'MIXED: {one}, runs {[run[2] for run in world.runs_of(one)]}: '
         f'{resp.fault}'
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -838,11 +838,15 @@
         )
         return resp
 
+    def all_runners(self) -> list[Runner]:
+        """Returns all runners, those that have ended included."""
+        return [*self.runners.values(), *self.ended_runners]
+
     def runs_of(self, request_id: str) -> list:
         """Returns the runs of a request at all runners."""
         return [
             run
-            for runner in [*self.runners.values(), *self.ended_runners]
+            for runner in self.all_runners()
             for run in runner.runs
             if run[0] == request_id
         ]
