Abort a relayed stream at its time-out, not answer it twice

Cause: StreamRunner kept its own note of whether the client's answer had begun and set it in its own attempts only; a relay starts the sink itself. At the time-out it took the stream for one that had not begun and returned a response, which the HTTP server wrote to the connection.

Why this works: the sink is the only place that knows whether an answer has begun. The server aborts the connection should a response still come after a begun answer, and logs answer_begun_twice.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -751,6 +751,27 @@
         '        if False:\n            sink.abort()\n',
         'tests/platform/test_answer_ends.py',
     ),
+    Mutant(
+        'a stream that a relay began counts as begun',
+        'plantainway/traffic/_stream.py',
+        'return self.sink.is_started',
+        'return self.sends > 0 and self.sink.is_started',
+        'tests/traffic/test_stream.py',
+    ),
+    Mutant(
+        'no head follows that of a begun answer',
+        'plantainway/platform/_ingress.py',
+        '        if sink.is_started:\n',
+        '        if False:\n',
+        'tests/platform/test_ingress.py',
+    ),
+    Mutant(
+        'a failed handler sends no second response',
+        'plantainway/api/_http.py',
+        'if request.writer.output_size and not resp.prepared:',
+        'if False:',
+        'tests/api/test_http.py',
+    ),
     Mutant(
         'a stream is requested from a head again on a new connection',
         'plantainway/traffic/_stream.py',
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -175,6 +175,17 @@
         answer = await self._gateway.handle(req, sink)
         if answer is None:
             return sink.response
+        if sink.is_started:
+            # A second head would be read as a part of the first body.
+            logs.event(
+                'answer_begun_twice',
+                'ERROR',
+                request=req.request_id,
+                status=answer.status,
+                reason=answer.reason,
+            )
+            sink.abort()
+            return sink.response
         return self._encode_response(req, answer)
 
     async def _decode_request(
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -41,13 +41,13 @@
 
     ``runs`` counts the attempts that may have run at an upstream, ``sends``
     all that were sent, ``unreached`` those for which no connection could be
-    opened. ``is_started`` tells whether the client has received
-    status and headers, ``is_attempt_running`` whether an attempt is in
-    progress that may run. ``lost_heads`` are those at which the stream
-    stalled or broke off. Times are monotonic seconds.
+    opened. ``is_attempt_running`` tells whether an attempt is in progress
+    that may run. ``lost_heads`` are those at which the stream stalled or broke
+    off. Times are monotonic seconds.
     """
 
     req: _types.Request
+    sink: _types.BaseSink
     route: object
     service: str
     account: str
@@ -55,7 +55,6 @@
     deadline: float
     client_gone_at: float
     last_event_id: int | None
-    is_started: bool = False
     runs: int = 0
     sends: int = 0
     excluded_heads: set = dataclasses.field(default_factory=set)
@@ -68,6 +67,11 @@
     is_attempt_running: bool = False
     longest_pass_s: float = 0.0
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the client's answer has begun, here or by a relay."""
+        return self.sink.is_started
+
 
 class StreamRunner:
     """Serves requests whose response is a stream of events.
@@ -104,6 +108,7 @@
         )
         state = _StreamState(
             req,
+            sink,
             route,
             service,
             account,
@@ -471,7 +476,6 @@
             )
         if not state.is_started:
             await sink.start(response.status, response.headers)
-            state.is_started = True
         if splitter.remainder:
             await sink.write(splitter.remainder)  # blank lines
         evidence.record_end()
@@ -493,7 +497,6 @@
                 state.last_event_id = event.event_id
             pending.append(event.data)
         if not state.is_started:
-            state.is_started = True
             deps.outcomes.record_first_event(state.req)
             await sink.start(response.status, response.headers)
         state.last_event_at = deps.clock.now()
--- a/tests/traffic/test_stream.py
+++ b/tests/traffic/test_stream.py
@@ -1,11 +1,14 @@
 """Number of runs that a stream is allowed."""
 
+import asyncio
 import dataclasses
 import types
 
 import pytest
 
+from plantainway import clock as clocks
 from plantainway import deployment
+from plantainway import traffic
 from plantainway.traffic import _stream
 from tests.traffic import test_heads
 
@@ -38,3 +41,70 @@
         route=route, req=req, runs=2, lost_heads=[HEAD]
     )
     assert runner._may_run_again(state) is allowed
+
+
+class RecordingSink(traffic.BaseSink):
+    """Records whether it was started and aborted."""
+
+    is_aborted = False
+
+    async def start(self, status, headers):
+        """Sends nothing."""
+        self.is_started = True
+
+    async def write(self, data):
+        """Sends nothing."""
+
+    async def finish(self):
+        """Sends nothing."""
+
+    def abort(self):
+        """Records the call."""
+        self.is_aborted = True
+
+
+class SilentRelay:
+    """Relay to a node that begins a stream at most and then falls silent."""
+
+    def __init__(self, begins):
+        self._begins = begins
+
+    def is_needed(self, _req, _unreached=0):
+        """Returns whether a request should be relayed: always."""
+        return True
+
+    async def serve(self, _req, _deadline, _runs, sink, resumed=None):
+        """Does not return."""
+        if self._begins:
+            await sink.start(200, ())
+        await asyncio.Event().wait()
+
+
+async def serve_relayed(begins, is_idempotent=True):
+    """Serves a stream through a silent relay until the route's timeout."""
+    clock = clocks.MonotonicClock()
+    deps = types.SimpleNamespace(
+        clock=clock,
+        relay=SilentRelay(begins),
+        upstreams=deployment.UpstreamRegistry(),
+    )
+    route = types.SimpleNamespace(
+        latency_target_ms=10,
+        max_event_gap_ms=10,
+        timeout_ms=50,
+        is_idempotent=is_idempotent,
+        max_attempts=2,
+    )
+    now = clock.now()
+    req = traffic.Request('r', 'GET', '/x', 'h', [], b'', now, now + 5.0)
+    sink = RecordingSink()
+    got = await _stream.StreamRunner(deps).serve(
+        req, route, 's', '', 1, sink, None
+    )
+    return got, sink
+
+
+async def test_stream_that_a_relay_began_is_aborted_at_the_timeout():
+    """Guards against a 503 after the head of the relayed stream (MIXED)."""
+    got, sink = await serve_relayed(begins=True)
+    assert got is None and sink.is_aborted
