Send no error response within a begun one

Callers of the own interface would have got the head of a 500 within the events of a stream if a handler failed unexpectedly after the first one.

Cause: the error middleware returns a response whether or not the handler has begun one. Now it raises ConnectionError, upon which the server closes the connection, so that the answer is seen to be incomplete.

--- a/plantainway/api/_http.py
+++ b/plantainway/api/_http.py
@@ -34,8 +34,14 @@
     Args:
         request: Request of the caller.
         handler: Handler to call.
+
+    Raises:
+        ConnectionError: If the handler failed after it had begun a response;
+            the server then closes the connection.
     """
     resp = await _handle(request, handler)
+    if request.writer.output_size and not resp.prepared:
+        raise ConnectionError('another response has begun')
     if REQUEST_ID in request and not resp.prepared:
         resp.headers['X-Request-Id'] = request[REQUEST_ID]
     return resp
