Count a relay in progress as a run of a stream

Cause: at the time-out StreamRunner asks whether an attempt ran or is running; a relay in progress set neither. The plain path was right.

Why this works: from its start until its response a relay counts as an attempt that may run, so the time-out answers 504. A refusal of the other node still becomes 503.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -758,6 +758,14 @@
         'return self.sends > 0 and self.sink.is_started',
         'tests/traffic/test_stream.py',
     ),
+    Mutant(
+        'a relayed stream may have run',
+        'plantainway/traffic/_stream.py',
+        '        state.is_attempt_running = True\n'
+        '        response = await self._deps.relay.serve(',
+        '        response = await self._deps.relay.serve(',
+        'tests/traffic/test_stream.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -41,9 +41,9 @@
 
     ``runs`` counts the attempts that may have run at an upstream, ``sends``
     all that were sent, ``unreached`` those for which no connection could be
-    opened. ``is_attempt_running`` tells whether an attempt is in progress
-    that may run. ``lost_heads`` are those at which the stream stalled or broke
-    off. Times are monotonic seconds.
+    opened. ``is_attempt_running`` tells whether an attempt or a relay is in
+    progress that may run. ``lost_heads`` are those at which the stream stalled
+    or broke off. Times are monotonic seconds.
     """
 
     req: _types.Request
@@ -233,6 +233,7 @@
         Returns:
             Whether the sink was used; otherwise there is an error response.
         """
+        state.is_attempt_running = True
         response = await self._deps.relay.serve(
             state.req,
             state.deadline,
@@ -240,6 +241,7 @@
             sink,
             resumed=(state.last_event_id or 0) if state.is_started else None,
         )
+        state.is_attempt_running = False  # the response tells if it ran
         if response is None:
             return True
         if state.runs and response.status == 503 and response.reason:
--- a/tests/platform/test_silent_peers.py
+++ b/tests/platform/test_silent_peers.py
@@ -108,3 +108,15 @@
     data = await send(node, path)
     _head, _, body = data.partition(b'\r\n\r\n')
     assert body == CHUNK % (len(EVENT), EVENT)
+
+
+@pytest.mark.parametrize(
+    'path', ['/stream/x', '/once/x', '/safe/x', '/unsafe/x']
+)
+async def test_request_that_reached_a_silent_node_is_not_refused(
+    node, relay_to, path
+):
+    """Guards against a 503 for a request that may have run (REFUSED)."""
+    peer = await relay_to(begins=False)
+    data = await send(node, path)
+    assert (peer.requests, data[9:12]) == (1, b'504')
--- a/tests/traffic/test_stream.py
+++ b/tests/traffic/test_stream.py
@@ -108,3 +108,12 @@
     """Guards against a 503 after the head of the relayed stream (MIXED)."""
     got, sink = await serve_relayed(begins=True)
     assert got is None and sink.is_aborted
+
+
+@pytest.mark.parametrize('is_idempotent', [False, True])
+async def test_stream_that_was_relayed_is_not_refused_at_the_timeout(
+    is_idempotent,
+):
+    """Guards against a 503 for a request that may have run (REFUSED)."""
+    got, _sink = await serve_relayed(False, is_idempotent)
+    assert got.status == 504
