Bound what is kept of a runner's reports, checks and orders

What callers would see: a runner that answers a report, a health check or an order with a body without end fills the memory of the node that asked; the node ends, and with it the requests of all its clients (LOST).

Cause: these calls used the library's read, which has no bound, until their time-out (0.25 to 1 s).

Why this works: a body is read up to 1 MiB (reports) or 64 KiB; beyond it the connection is closed and the call counts as failed.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -766,6 +766,13 @@
         '        response = await self._deps.relay.serve(',
         'tests/traffic/test_stream.py',
     ),
+    Mutant(
+        'bodies of answers to a node itself are bounded',
+        'plantainway/sessions.py',
+        'if size > max_bytes:',
+        'if False:',
+        'tests/platform/test_endless_answers.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -15,6 +15,7 @@
 from plantainway.platform import _connections
 from plantainway.platform import _messages
 from plantainway.platform import _names
+from plantainway import sessions
 from plantainway import supply
 from plantainway import traffic
 
@@ -25,6 +26,8 @@
 HEALTH_TIMEOUT_S = 1.0  # a check waits for a slot as requests do
 REPORT_TIMEOUT_S = 0.25  # a report needs no slot and takes about 10 ms
 RESPONSE_BYTES_MAX = 4 << 20  # of a body that is read as a whole
+REPORT_BYTES_MAX = 1 << 20  # reports have some KB
+CONTROL_BYTES_MAX = 1 << 16  # of answers whose body is not used
 DEADLINE_MARGIN_MS = 5  # for returning the answer to the client
 STATUS_MISDIRECTED = 421  # another upstream has the address now
 SKIPPED_AUTO_HEADERS = (
@@ -278,7 +281,7 @@
                     f'http://{upstream.address}{_names.REPORT_PATH}',
                     headers={_names.EXPECT_UPSTREAM: upstream.name},
                 ) as resp:
-                    body = await resp.read()
+                    body = await sessions.read_body(resp, REPORT_BYTES_MAX)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise errors.UpstreamError(
                 repr(exc)[:120],
@@ -309,7 +312,7 @@
                     f'http://{upstream.address}{path}',
                     headers={_names.EXPECT_UPSTREAM: upstream.name},
                 ) as resp:
-                    await resp.read()
+                    await sessions.read_body(resp, CONTROL_BYTES_MAX)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise errors.UpstreamError(
                 repr(exc)[:120], 'health', upstream.name
@@ -352,7 +355,7 @@
                     },
                     data=_messages.encode(body),
                 ) as resp:
-                    await resp.read()
+                    await sessions.read_body(resp, CONTROL_BYTES_MAX)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             self._handle_unreached(upstream, exc)
             return supply.OrderOutcome(
--- a/plantainway/sessions.py
+++ b/plantainway/sessions.py
@@ -1,4 +1,4 @@
-"""HTTP client sessions that never repeat a request."""
+"""HTTP client sessions that never repeat a request, and bounded reads."""
 
 import aiohttp
 
@@ -18,3 +18,23 @@
     )
     session._retry_connection = False
     return session
+
+
+async def read_body(resp: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Returns the whole body of a response.
+
+    Args:
+        resp: Response whose headers have arrived.
+        max_bytes: Longest body that is kept.
+
+    Raises:
+        aiohttp.ClientPayloadError: If the body is longer, or truncated.
+    """
+    parts = []
+    size = 0
+    while data := await resp.content.readany():
+        size += len(data)
+        if size > max_bytes:
+            raise aiohttp.ClientPayloadError(f'body exceeds {max_bytes} bytes')
+        parts.append(data)
+    return b''.join(parts)
