Bound what is kept of an answer of the store

The same class as the reports of runners: an answer of the store without end, or of whoever has its address, was kept as long as it arrived, up to the time-out of 1.5 to 6 s; the node would run out of memory (LOST).

Why this works: bodies are read up to 32 MiB, some times what the feed returns of 20 s of the entries of some hundred runners; beyond it the call counts as failed, which the callers handle already.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -773,6 +773,13 @@
         'if False:',
         'tests/platform/test_endless_answers.py',
     ),
+    Mutant(
+        'answers of the store are bounded',
+        'plantainway/platform/_store.py',
+        'if size > ANSWER_BYTES_MAX:',
+        'if False:',
+        'tests/platform/test_endless_answers.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/platform/_store.py
+++ b/plantainway/platform/_store.py
@@ -20,6 +20,9 @@
 # Of the body of an answer that keeps arriving: a configuration of some
 # thousand routes over the slowest link, in use by others.
 BODY_TIMEOUT_S = 6.0
+# Of an answer: the feed returns all changes of the history, which is 20 s of
+# the entries of some hundred runners.
+ANSWER_BYTES_MAX = 32 << 20
 MAX_PAGE_ROWS = 500  # the store returns no more at once
 STATUS_HISTORY_LOST = 410
 STATUS_PRECONDITION_FAILED = 412
@@ -156,11 +159,20 @@
         Args:
             resp: HTTP response whose headers have arrived.
             timeout: Timeout of the call.
+
+        Raises:
+            aiohttp.ClientPayloadError: If the body is too long or truncated.
         """
         loop = asyncio.get_running_loop()
         latest = loop.time() + BODY_TIMEOUT_S
         parts = []
+        size = 0
         while data := await resp.content.readany():
+            size += len(data)
+            if size > ANSWER_BYTES_MAX:
+                raise aiohttp.ClientPayloadError(
+                    f'body exceeds {ANSWER_BYTES_MAX} bytes'
+                )
             parts.append(data)
             timeout.reschedule(min(loop.time() + CALL_TIMEOUT_S, latest))
         return b''.join(parts)
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -14,6 +14,8 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway import platform
+from plantainway.platform import _store
+from plantainway import stores
 from plantainway import supply
 from plantainway import traffic
 
@@ -22,6 +24,7 @@
 # The longest answer of a runner that is read, twice while it is joined, and
 # what the connection holds.
 KEPT_BYTES_MAX = 10 << 20
+STORE_BYTES_MAX = 4 << 20
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
 # What is sent once, and what follows until the connection is closed.
 ENDLESS = {
@@ -152,3 +155,26 @@
     )
     kept = await peak_bytes(lambda: RUNNER_CALLS[call](client, upstream))
     assert kept <= KEPT_BYTES_MAX
+
+
+STORE_CALLS = {
+    'read': lambda store: store.snapshot('servers'),
+    'feed': lambda store: store.changes('servers', 1, 0.1),
+    'commit': lambda store: store.commit(
+        stores.Transaction('t', (), (stores.Write('k', 1),))
+    ),
+}
+
+
+@pytest.mark.parametrize('server', ENDLESS, indirect=True)
+@pytest.mark.parametrize('call', STORE_CALLS)
+async def test_answer_of_the_store_without_end_is_not_kept(
+    server, sessions, monkeypatch, call
+):
+    """Guards against a process that runs out of memory (LOST)."""
+    monkeypatch.setattr(
+        _store, 'ANSWER_BYTES_MAX', STORE_BYTES_MAX, raising=False
+    )
+    store = platform.PlatformStore(server.address, sessions[0])
+    kept = await peak_bytes(lambda: STORE_CALLS[call](store))
+    assert kept <= KEPT_BYTES_MAX
