Bound what the own interface keeps of an answer

Why this works: sessions.read_body counts the bytes after unpacking, up to 1 MiB, 64 KiB and 32 MiB; a longer body is a failed call.

--- a/plantainway/stores/_http.py
+++ b/plantainway/stores/_http.py
@@ -1,15 +1,18 @@
 """HTTP clients of the platform's services."""
 
+import json
 import urllib.parse
 
 import aiohttp
 
 from plantainway import errors
+from plantainway import sessions
 from plantainway.stores import _stores
 from plantainway.stores import _table
 
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
+ANSWER_BYTES_MAX = 32 << 20
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
@@ -18,6 +21,10 @@
 _CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
 
+async def _read_json(resp: aiohttp.ClientResponse):
+    return json.loads(await sessions.read_body(resp, ANSWER_BYTES_MAX))
+
+
 class _HttpBase:
     def __init__(self, base_url: str, session: aiohttp.ClientSession):
         self._base = base_url
@@ -32,7 +39,7 @@
                 self._base + path, params=params, timeout=self._timeout
             ) as resp:
                 if resp.status == _HTTP_OK:
-                    return await resp.json()
+                    return await _read_json(resp)
                 if resp.status == _HTTP_NOT_FOUND:
                     raise errors.NotFoundError(path, step, self._base)
                 raise errors.StoreUnavailableError(
@@ -78,12 +85,12 @@
                 self._base + '/commit', json=body, timeout=self._timeout
             ) as resp:
                 if resp.status == _HTTP_OK:
-                    reply = await resp.json()
+                    reply = await _read_json(resp)
                     return _table.CommitResult(
                         outcome.COMMITTED, version=reply['version']
                     )
                 if resp.status == _HTTP_CONFLICT:
-                    reply = await resp.json()
+                    reply = await _read_json(resp)
                     return _table.CommitResult(
                         outcome.NOT_COMMITTED,
                         'conflict',
@@ -145,7 +152,7 @@
                 timeout=self._timeout,
             ) as resp:
                 if resp.status == _HTTP_OK:
-                    return await resp.read()
+                    return await sessions.read_body(resp, ANSWER_BYTES_MAX)
                 if resp.status == _HTTP_NOT_FOUND:
                     raise errors.NotFoundError(name, step, self._base)
                 raise errors.StoreUnavailableError(
--- a/plantainway/upstreams/_http_engine.py
+++ b/plantainway/upstreams/_http_engine.py
@@ -8,12 +8,15 @@
 import pydantic
 
 from plantainway import errors
+from plantainway import sessions
 from plantainway.upstreams import _engine
 
 STATE_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 3.0
 CONNECT_TIMEOUT_S = 1.0
 EVENT_MAX_BYTES = 65536
+STATE_MAX_BYTES = 1 << 20
+REASON_MAX_BYTES = 65536  # of a refused order
 COPY_HEADER = 'X-Replica'
 TOKEN_HEADER = 'X-Fencing-Token'
 ATTEMPT_HEADER = 'X-Attempt'
@@ -56,7 +59,8 @@
                     raise self._upstream_error(
                         f'status {resp.status}', 'state'
                     )
-                return _STATE_ADAPTER.validate_json(await resp.read())
+                body = await sessions.read_body(resp, STATE_MAX_BYTES)
+                return _STATE_ADAPTER.validate_json(body)
         except _CALL_ERRORS as exc:
             raise self._upstream_error(repr(exc), 'state')
 
@@ -99,8 +103,11 @@
                 f'{self._base}/orders/{name}', json=body, timeout=timeout
             ) as resp:
                 if resp.status == _HTTP_CONFLICT:
+                    reason = await sessions.read_body(resp, REASON_MAX_BYTES)
                     raise errors.OrderRefusedError(
-                        await resp.text(), f'order_{name}', self.vm
+                        reason.decode(errors='replace'),
+                        f'order_{name}',
+                        self.vm,
                     )
                 if resp.status != _HTTP_OK:
                     raise self._upstream_error(
