Take an event without an end for a failure of the engine

Callers of the own interface would get 500 'internal error of the node', or a stream cut off, where another copy could go on with the answer: the library raises LineTooLong for an event without an end, which is none of the errors that the client of engines expects.

Evidence: the four rows 'chat' of tests/test_endless_answers.py were red. Why this works: the error now becomes an UpstreamError like other broken streams, which the chat runner resumes elsewhere.

--- a/plantainway/upstreams/_http_engine.py
+++ b/plantainway/upstreams/_http_engine.py
@@ -5,6 +5,7 @@
 import typing
 
 import aiohttp
+from aiohttp import http
 import pydantic
 
 from plantainway import errors
@@ -28,7 +29,13 @@
 _HTTP_OK = 200
 _HTTP_CONFLICT = 409
 _HTTP_GONE = 410
-_CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+_CALL_ERRORS = (
+    aiohttp.ClientError,
+    http.HttpProcessingError,  # an event without an end
+    TimeoutError,
+    OSError,
+    ValueError,
+)
 _STATE_ADAPTER = pydantic.TypeAdapter(_engine.EngineState)
 _END_DATA = b'[DONE]'
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,7 @@
 """Tests that endless answers to calls of the own interface are not kept."""
 
+import time
+
 import pytest
 
 from plantainway import sessions
@@ -16,6 +18,22 @@
 )
 
 
+async def _chat(address, session):
+    call = upstreams.ChatCall(
+        body={},
+        copy_id='c1',
+        token=1,
+        attempt='a1',
+        caller='c',
+        deadline=time.monotonic() + endless.CALL_S,
+        priority=1,
+        req_id='r1',
+    )
+    engine = upstreams.HttpEngine('vm-1', address, session)
+    async for _event in engine.chat(call):
+        pass
+
+
 CALLS = {
     'state': lambda address, session: upstreams.HttpEngine(
         'vm-1', address, session
@@ -23,6 +41,7 @@
     'order': lambda address, session: upstreams.HttpEngine(
         'vm-1', address, session
     ).load(LOAD),
+    'chat': _chat,
     'row': lambda address, session: stores.HttpTable(
         f'http://{address}', session
     ).read('k'),
