Begin no stream that would outlast a node that stops

Cause: a stopping node asks whether a request may outlast it only once clients have left (3 s), by its deadline; until then it begins whatever arrives, and queued streams at any time.

Why this works: the node learns how long streams take for each token of their answers and refuses one that has not run, as not run and at once, if it would end behind the node, also while it waits. Requests that have run are untouched. Whether it is all of what the users saw is only suspected.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -780,6 +780,21 @@
         'if False:',
         'tests/platform/test_endless_answers.py',
     ),
+    Mutant(
+        'queued streams do not outlast a node that stops',
+        'plantainway/traffic/_stream.py',
+        '            scope.reschedule(self._loop_time_of('
+        'self._latest_start(state)))\n',
+        '            pass\n',
+        'tests/platform/test_late_requests.py',
+    ),
+    Mutant(
+        'late streams do not outlast a node that stops',
+        'plantainway/traffic/_stream.py',
+        'may_refuse = state.runs == 0 and not state.is_started',
+        'may_refuse = False',
+        'tests/platform/test_late_requests.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -23,7 +23,6 @@
 from plantainway.traffic import _types
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.3  # it is read within about 20 ms
-LEAVING_RETRY_AFTER_S = 0.05  # other nodes take the request at once
 GATEWAY_TIMEOUT = 504
 
 
@@ -139,7 +138,8 @@
         """Sets when this node has to have answered all requests.
 
         Requests that are still unanswered then get 504, streams that have
-        begun are aborted.
+        begun are aborted. Streams that would last longer, as others of their
+        service do, are refused from now on.
 
         Args:
             ends_at: Monotonic seconds.
@@ -149,6 +149,7 @@
         """
         self._ends_at = ends_at
         self._refuses_long_from = refuse_long_from
+        self._stream.end_at(ends_at)
         for scope in self._scopes:
             if scope.when() is None:
                 scope.reschedule(self._loop_time_of(ends_at))
@@ -253,7 +254,7 @@
         if self._is_too_late(req, route):
             return _types.Response(
                 503,
-                retry_after_s=LEAVING_RETRY_AFTER_S,
+                retry_after_s=_stream.LEAVING_RETRY_AFTER_S,
                 reason='node ends before the request may',
             )
         service = _choose_service(route, self._rng)
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -3,9 +3,11 @@
 import asyncio
 import dataclasses
 import enum
+import math
 
 from plantainway import errors
 from plantainway import quarantine
+from plantainway.traffic import _durations
 from plantainway.traffic import _events
 from plantainway.traffic import _queue
 from plantainway.traffic import _stall_timer
@@ -23,6 +25,7 @@
 PRIORITY_NEW_STREAM = 3
 ERROR_BODY_TIMEOUT_S = 1.0  # for the body of a failure, some hundred bytes
 EVENT_BYTES_MAX = 1 << 20  # an event holds a few tokens
+LEAVING_RETRY_AFTER_S = 0.05  # other nodes take the request at once
 
 
 class _AttemptResult(enum.Enum):
@@ -35,7 +38,7 @@
     FAILED = 'failed'
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class _StreamState:
     """State of one streamed response over all its attempts.
 
@@ -59,6 +62,7 @@
     sends: int = 0
     excluded_heads: set = dataclasses.field(default_factory=set)
     sent_heads: set = dataclasses.field(default_factory=set)
+    first_sent_at: float = 0.0
     last_event_at: float = 0.0
     error_response: _types.Response | None = None
     reason: str = ''
@@ -67,6 +71,11 @@
     is_attempt_running: bool = False
     longest_pass_s: float = 0.0
 
+    @property
+    def answer_tokens(self) -> int:
+        """Number of tokens of the answer, 0 if unknown."""
+        return self.req.answer_tokens or self.req.length_hint
+
     @property
     def is_started(self) -> bool:
         """Whether the client's answer has begun, here or by a relay."""
@@ -82,6 +91,63 @@
 
     def __init__(self, deps):
         self._deps = deps
+        self._durations = _durations.RunDurations()
+        self._ends_at: float | None = None
+        self._waiting: dict[asyncio.Timeout, _StreamState] = {}
+        self._in_progress: set[_StreamState] = set()
+
+    def end_at(self, ends_at: float) -> None:
+        """Sets when this node ends.
+
+        Streams that would outlast it are not begun any more; those that wait
+        for capacity are refused as soon as it would come too late.
+
+        Args:
+            ends_at: Monotonic seconds.
+        """
+        self._ends_at = ends_at
+        for scope, state in self._waiting.items():
+            scope.reschedule(self._loop_time_of(self._latest_start(state)))
+
+    def _latest_start(self, state) -> float:
+        """Returns until when a stream may begin to end before this node.
+
+        A node that has seen none end yet goes by the age of those that run.
+        """
+        if self._ends_at is None:
+            return math.inf
+        expected_s = self._durations.expected_s(
+            state.service, state.answer_tokens
+        )
+        return self._ends_at - (expected_s or self._longest_age_s(state))
+
+    def _longest_age_s(self, state) -> float:
+        """Returns for how long the oldest stream of a service has run."""
+        now = self._deps.clock.now()
+        return max(
+            (
+                now - item.first_sent_at
+                for item in self._in_progress
+                if item.service == state.service and item.first_sent_at
+            ),
+            default=0.0,
+        )
+
+    def _loop_time_of(self, at: float) -> float | None:
+        if at == math.inf:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.time() + at - self._deps.clock.now()
+
+    def _ensure_ends_in_time(self, state) -> None:
+        """Checks that a stream that has not run ends before this node.
+
+        Raises:
+            NotRunError: If it would not; other nodes take it at once.
+        """
+        may_refuse = state.runs == 0 and not state.is_started
+        if may_refuse and self._deps.clock.now() > self._latest_start(state):
+            raise _leaving_error()
 
     async def serve(
         self, req, route, service, account, priority, sink, engine
@@ -124,6 +190,7 @@
             if engine
             else 0.0,
         )
+        self._in_progress.add(state)
         try:
             async with asyncio.timeout(
                 max(state.deadline - self._deps.clock.now(), 0.0)
@@ -132,6 +199,8 @@
         except TimeoutError:
             done = False
             state.reason = 'deadline passed'
+        finally:
+            self._in_progress.discard(state)
         if done:
             return None
         return self._finish_unserved(state, sink)
@@ -156,14 +225,15 @@
         """Makes attempts until one completes; returns whether one did."""
         deps = self._deps
         while state.sends < MAX_SENDS:
-            if deps.relay.is_needed(state.req, state.unreached):
-                may_run = state.route.is_idempotent or state.runs == 0
-                if may_run:
-                    return await self._relay(state, sink)
-            if state.sends and not deps.budget.try_take(state.service):
-                state.reason = 'retry budget exhausted'
-                return False
             try:
+                self._ensure_ends_in_time(state)
+                if deps.relay.is_needed(state.req, state.unreached):
+                    may_run = state.route.is_idempotent or state.runs == 0
+                    if may_run:
+                        return await self._relay(state, sink)
+                if state.sends and not deps.budget.try_take(state.service):
+                    state.reason = 'retry budget exhausted'
+                    return False
                 reservation = await self._reserve_allowed(state)
             except errors.NotRunError as exc:
                 state.reason = exc.message
@@ -261,22 +331,46 @@
     async def _reserve_allowed(self, state):
         """Reserves capacity, unless engines crash on the prompt.
 
-        That may become known while the request waits.
+        That may become known while the request waits, and this node may
+        begin to stop.
 
         Raises:
-            NotRunError: If a part of the prompt is quarantined, or as
-                ``HeadPool.reserve``.
+            NotRunError: If a part of the prompt is quarantined, if the stream
+                would outlast this node, or as ``HeadPool.reserve``.
         """
         ensure_allowed = self._deps.quarantine.ensure_allowed
         ensure_allowed(state.req.crash_keys)
-        reservation = await self._reserve(state)
+        reservation = await self._reserve_in_time(state)
         try:
             ensure_allowed(state.req.crash_keys)
+            self._ensure_ends_in_time(state)
         except errors.NotRunError:
             self._deps.heads.release(reservation)
             raise
         return reservation
 
+    async def _reserve_in_time(self, state):
+        """Reserves capacity; waits no longer than the end of this node allows.
+
+        Raises:
+            NotRunError: As ``_ensure_ends_in_time`` or ``HeadPool.reserve``.
+        """
+        if state.runs or state.is_started:
+            return await self._reserve(state)
+        scope = asyncio.timeout_at(
+            self._loop_time_of(self._latest_start(state))
+        )
+        self._waiting[scope] = state
+        try:
+            async with scope:
+                return await self._reserve(state)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            raise _leaving_error()
+        finally:
+            del self._waiting[scope]
+
     async def _reserve(self, state):
         req, route = state.req, state.route
         on_time_until = req.arrived_at + route.latency_target_ms / 1000
@@ -310,6 +404,7 @@
         deps, head = self._deps, reservation.head
         response = None
         sent_at = deps.clock.now()
+        state.first_sent_at = state.first_sent_at or sent_at
         attempt = _types.Attempt(
             state.req,
             head,
@@ -481,6 +576,12 @@
         if splitter.remainder:
             await sink.write(splitter.remainder)  # blank lines
         evidence.record_end()
+        if state.req.last_event_id is None:
+            self._durations.record(
+                state.service,
+                state.answer_tokens,
+                deps.clock.now() - state.first_sent_at,
+            )
         await sink.finish()
         deps.health.record_success(head.name)
         return _AttemptResult.DONE
@@ -504,3 +605,12 @@
         state.last_event_at = deps.clock.now()
         if pending:
             await sink.write(b''.join(pending))
+
+
+def _leaving_error() -> errors.NotRunError:
+    return errors.NotRunError(
+        'node ends before the stream would',
+        'stream',
+        reason='leaving',
+        retry_after_s=LEAVING_RETRY_AFTER_S,
+    )
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -8,6 +8,8 @@
 from tests.platform import conftest
 
 STOP_S = 1.6  # between SIGTERM and SIGKILL
+LONG_EVENT_S = 0.2
+LONG_S = 5 * LONG_EVENT_S  # of a stream
 
 
 @pytest.fixture
@@ -106,3 +108,58 @@
         pytest.fail('the node accepts no requests any more')
     assert not any(runner.seen for runner in runners.values())
     await task
+
+
+@pytest.mark.parametrize('late_s', [-0.4, 0.2])
+@pytest.mark.parametrize('streams', [2, 30])
+@pytest.mark.parametrize('has_seen', [True, False])
+async def test_stream_that_would_outlast_the_node_is_not_started(
+    short_node, runners, client, late_s, streams, has_seen
+):
+    """Guards against streams that are cut off when the node ends (LOST)."""
+    for runner in runners.values():
+        runner.faults.event_s = LONG_EVENT_S
+    learned = asyncio.ensure_future(_send_streams(short_node, client, 2, 'l'))
+    await asyncio.sleep(LONG_S * (1.1 if has_seen else 0.8))
+    stop_at = asyncio.get_running_loop().time() + max(-late_s, 0.0)
+    before = asyncio.ensure_future(
+        _send_streams(short_node, client, streams if late_s < 0 else 0, 'b')
+    )
+    await asyncio.sleep(max(-late_s, 0.0))
+    stopping = asyncio.ensure_future(short_node.stop())
+    await asyncio.sleep(max(late_s, 0.0))
+    after = await _send_streams(
+        short_node, client, streams if late_s > 0 else 0, 'a'
+    )
+    answers = await learned + await before + after
+    await stopping
+    assert all(got.is_whole for _id, got in answers)
+    started = {
+        seen.headers['request-id']: seen.at
+        for runner in runners.values()
+        for seen in runner.seen
+    }
+    for request_id, got in answers:
+        assert got.status == (200 if request_id in started else 503)
+        assert started.get(request_id, 0.0) < stop_at + STOP_S - LONG_S
+
+
+async def _send_streams(node, client, count, name):
+    """Sends streams at once; returns their ids with their responses."""
+    ids = [f'{name}-{number}' for number in range(count)]
+    answers = await asyncio.gather(
+        *(
+            conftest.send_request(
+                client,
+                node,
+                '/stream/x',
+                'POST',
+                request_id=request_id,
+                Model='m0',
+                Token_Count='10,10',
+                Deadline_Ms='8000',
+            )
+            for request_id in ids
+        )
+    )
+    return list(zip(ids, answers))
