Go on with a planned stop when a further signal comes

Cause: the entry point's library restores the default action when the shutdown begins; two signals at once each begin a shutdown, and the second stops the event loop beneath the first.

Evidence: 6 of 8 rows of tests/platform/test_node_processes.py (two and three signals, at once and 0.5 s apart, beside a stream) were red. A first attempt, which only replaced the default action, left two red.

Why this works: the service handles both signals as long as the process lives; the first stops the loop, further ones are logged. Before the node runs, a signal still ends the process, which has its own test.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -795,6 +795,13 @@
         'may_refuse = False',
         'tests/platform/test_late_requests.py',
     ),
+    Mutant(
+        'a further signal does not end a node that stops',
+        'plantainway/edge/_service.py',
+        'service, log_config=False, catch_signals=()',
+        'service, log_config=False',
+        'tests/platform/test_node_processes.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/tests/platform/test_node_processes.py
+++ b/tests/platform/test_node_processes.py
@@ -240,3 +240,57 @@
         assert process.proc.returncode is None
     finally:
         await process.stop()
+
+
+@pytest.mark.parametrize('pause_s', [0.0, 0.5])
+@pytest.mark.parametrize(
+    'signals',
+    [
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGINT),
+        (signal.SIGINT, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+    ],
+)
+async def test_further_signal_does_not_cut_a_planned_stop_short(
+    pair, client, runners, signals, pause_s
+):
+    """Guards against requests that a second signal cuts off (LOST)."""
+    first, _second = pair
+    await _request_until_served(client, first.addresses['caller'])
+    for runner in runners.values():
+        runner.seen.clear()
+        runner.faults.event_s = 0.2
+    task = asyncio.ensure_future(
+        conftest.send_request(
+            client,
+            first.addresses['caller'],
+            '/stream/x',
+            'POST',
+            Model='m0',
+            Token_Count='10,10',
+        )
+    )
+    await conftest.until(
+        lambda: any(runner.seen for runner in runners.values()), 'sent'
+    )
+    for number in signals:
+        first.proc.send_signal(number)
+        await asyncio.sleep(pause_s)
+    got = await task
+    assert (got.status, got.is_whole) == (200, True)
+    assert await first.proc.wait() == 0
+
+
+async def test_sigterm_during_the_start_ends_the_process(store, tmp_path):
+    """A signal that comes before the node runs is not ignored."""
+    process = processes.Process(
+        conftest.settings('n1', store.address), tmp_path / 'n1.json'
+    )
+    start = asyncio.ensure_future(process.start())
+    await asyncio.sleep(0.2)
+    process.proc.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(conftest.WAIT_S):
+        await process.proc.wait()
+    with contextlib.suppress(AssertionError):
+        await start
