Send no requests to a runner that asks for a pause

Cause: the header was not read.

Why this works: the time is kept by upstream, up to 60 s, and the runner is left out until then; it is no failure, so it is used right at its end. Unreadable values are logged and count as none.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -802,6 +802,20 @@
         'service, log_config=False',
         'tests/platform/test_node_processes.py',
     ),
+    Mutant(
+        'a plain runner that pauses gets no requests',
+        'plantainway/traffic/_plain.py',
+        '            and not self._deps.pauses.remaining_s(item.name)\n',
+        '',
+        'tests/platform/test_pauses.py',
+    ),
+    Mutant(
+        'a head that pauses gets no requests',
+        'plantainway/traffic/_heads.py',
+        'pause_s = max(pause_s, FULL_BACKOFF_S)',
+        'pause_s = FULL_BACKOFF_S',
+        'tests/platform/test_pauses.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -199,6 +199,7 @@
             rates=rates,
             links=self._links,
             relay=relay,
+            pauses=traffic.PauseBook(clock),
             on_failure=self._handle_upstream_failure,
         )
 
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -29,6 +29,8 @@
 REPORT_BYTES_MAX = 1 << 20  # reports have some KB
 CONTROL_BYTES_MAX = 1 << 16  # of answers whose body is not used
 DEADLINE_MARGIN_MS = 5  # for returning the answer to the client
+STATUS_UNAVAILABLE = 503
+PAUSE_MAX_S = 60.0  # for which a runner may ask for no requests
 STATUS_MISDIRECTED = 421  # another upstream has the address now
 SKIPPED_AUTO_HEADERS = (
     'Accept',
@@ -112,6 +114,8 @@
         self.misdirected = resp.status == STATUS_MISDIRECTED
         self.not_run = self.misdirected or _names.NOT_EXECUTED in headers
         self.signed = _names.SERVER_STAMP in headers
+        if resp.status == STATUS_UNAVAILABLE and self.not_run:
+            self.retry_after_s = _parse_pause(headers, peer)
         self.failed_upstream = headers.get(_names.FAILED_UPSTREAM, '')
         self.ends_with_connection = not (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
@@ -382,6 +386,17 @@
     return headers
 
 
+def _parse_pause(headers, peer: str) -> float:
+    """Returns for how many seconds a runner wants no requests, 0 if unread."""
+    text = headers.get(_names.RETRY_AFTER)
+    if text is None:
+        return 0.0
+    if not _DECIMAL.fullmatch(text):
+        logs.event('pause_unreadable', upstream=peer, value=text[:40])
+        return 0.0
+    return min(float(text), PAUSE_MAX_S)
+
+
 def _parse_rate_limit(headers, peer: str) -> float | None:
     """Returns the limit named in a response, NaN if it is unreadable."""
     text = headers.get(_names.RATE_LIMIT)
--- a/plantainway/traffic/__init__.py
+++ b/plantainway/traffic/__init__.py
@@ -10,6 +10,7 @@
 from plantainway.traffic._links import LinkMonitor
 from plantainway.traffic._loads import LoadTracker
 from plantainway.traffic._outcomes import OutcomeRecorder
+from plantainway.traffic._pauses import PauseBook
 from plantainway.traffic._rates import RateGate
 from plantainway.traffic._relay import BaseRelayClient
 from plantainway.traffic._relay import Relay
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -15,6 +15,7 @@
 from plantainway.traffic import _links
 from plantainway.traffic import _loads
 from plantainway.traffic import _outcomes
+from plantainway.traffic import _pauses
 from plantainway.traffic import _plain
 from plantainway.traffic import _rates
 from plantainway.traffic import _relay
@@ -49,14 +50,15 @@
     rates: _rates.RateGate
     links: _links.LinkMonitor
     relay: _relay.Relay
+    pauses: _pauses.PauseBook
     on_failure: collections.abc.Callable | None = None
     on_stream_request: collections.abc.Callable | None = None
 
     def forget(self, upstream: deployment.Upstream) -> None:
         """Drops the state of an upstream that no longer exists.
 
-        Its health, its stalls, its limit and whether it is closed or full are
-        dropped.
+        Its health, its stalls, its limit, its pause and whether it is closed
+        or full are dropped.
         Its load is kept, since each request is subtracted when it ends.
 
         Args:
@@ -67,6 +69,7 @@
             self.health,
             self.stalls,
             self.rates,
+            self.pauses,
         ):
             tracker.forget(upstream.name)
 
@@ -117,7 +120,7 @@
     def __init__(self, deps: Dependencies, rng: random.Random):
         self._deps = deps
         self._rng = rng
-        self._plain = _plain.PlainRunner(deps)
+        self._plain = _plain.PlainRunner(deps, rng)
         self._stream = _stream.StreamRunner(deps)
         self._cfg: deployment.Configuration | None = None
         self._scopes: set[asyncio.Timeout] = set()
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -10,6 +10,7 @@
 
 MAX_QUEUED_PER_GROUP = 3  # requests at a group beyond its slots
 FULL_BACKOFF_S = 0.15  # pause after a head has refused a request as full
+RETURN_SPREAD_S = 0.5  # over which refused clients come back
 # A request waits this long for a permit even if it is late then.
 PERMIT_WAIT_MIN_S = 0.2
 LOAD_TOLERANCE = 2  # requests; loads that differ by no more are equal
@@ -137,8 +138,8 @@
         self._closed_memberships.pop(name, None)
         self._full_until.pop(name, None)
 
-    def mark_full(self, reservation: Reservation) -> None:
-        """Sends a head no requests for ``FULL_BACKOFF_S``.
+    def mark_full(self, reservation: Reservation, pause_s: float = 0) -> None:
+        """Sends a head no requests for ``FULL_BACKOFF_S`` at least.
 
         Called when a head refuses a request because it is full. Waiting
         requests are dispatched again once that time is over. The caller still
@@ -146,13 +147,40 @@
 
         Args:
             reservation: Reservation of the refused request.
+            pause_s: Seconds for which the head asks for no requests.
         """
-        self._full_until[reservation.head.name] = (
-            self._clock.now() + FULL_BACKOFF_S
+        pause_s = max(pause_s, FULL_BACKOFF_S)
+        name = reservation.head.name
+        self._full_until[name] = max(
+            self._clock.now() + pause_s, self._full_until.get(name, 0.0)
         )
-        asyncio.get_running_loop().call_later(
-            FULL_BACKOFF_S, self.dispatch_waiting
+        asyncio.get_running_loop().call_later(pause_s, self.dispatch_waiting)
+
+    def _ensure_one_returns(self, service, model, entry) -> None:
+        """Checks that not all heads stay away for longer than a request waits.
+
+        Raises:
+            NotRunError: If they do, with the time until the first is back.
+        """
+        now = self._clock.now()
+        heads = self._open_heads(service, model, entry.excluded_heads)
+        back_at = min(
+            (self._full_until.get(item.name, 0.0) for item in heads),
+            default=0.0,
         )
+        latest_at = min(
+            now + _queue.MAX_WAIT_S,
+            entry.client_gone_at - _queue.START_LATENCY_S,
+        )
+        if back_at > max(now, latest_at):
+            raise errors.NotRunError(
+                'all groups ask for a pause',
+                'queue',
+                reason='overload',
+                retry_after_s=back_at
+                - now
+                + self._rng.uniform(0.0, RETURN_SPREAD_S),
+            )
 
     def _queue_for(self, service: str, model: str) -> _queue.WaitQueue:
         key = (service, model)
@@ -315,6 +343,7 @@
                         raise
                     return reservation
         try:
+            self._ensure_one_returns(service, model, entry)
             return await self._reserve_queued(queue, entry)
         except errors.NotRunError as exc:
             if exc.reason != _types.REASON_LIMITED:
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import random
 
 from plantainway import deployment
 from plantainway import errors
@@ -24,10 +25,12 @@
 
     Args:
         deps: Components that the request runners share.
+        rng: Source of randomness for the return of refused clients.
     """
 
-    def __init__(self, deps):
+    def __init__(self, deps, rng: random.Random):
         self._deps = deps
+        self._rng = rng
         self._rotations: collections.Counter = collections.Counter()
 
     async def _choose_upstream(
@@ -72,11 +75,13 @@
         return self._deps.health.exclude_ejected(active)
 
     def _active(self, service: str, tried_names) -> list:
-        """Returns upstreams that were not tried and are not draining."""
+        """Returns upstreams neither tried, draining nor pausing."""
         return [
             item
             for item in self._deps.upstreams.find_by_service(service)
-            if not item.draining and item.name not in tried_names
+            if not item.draining
+            and item.name not in tried_names
+            and not self._deps.pauses.remaining_s(item.name)
         ]
 
     def _least_loaded(self, service: str, candidates):
@@ -193,7 +198,7 @@
         if runs == 0:
             return _types.Response(
                 503,
-                retry_after_s=REFUSED_RETRY_AFTER_S,
+                retry_after_s=self._refused_retry_after_s(req, service),
                 reason='no upstream accepted the request',
             )
         if deps.clock.now() >= deadline:
@@ -202,6 +207,24 @@
             BAD_GATEWAY, reason='outcome unknown, request may have run'
         )
 
+    def _refused_retry_after_s(self, req, service: str) -> float:
+        """Returns when a client should try again: when an upstream is back."""
+        deps = self._deps
+        pause_s = min(
+            (
+                deps.pauses.remaining_s(item.name)
+                for item in deps.upstreams.find_by_service(service)
+                if not item.draining
+            ),
+            default=0.0,
+        )
+        if not pause_s:
+            return REFUSED_RETRY_AFTER_S
+        return _queue.retry_after_s(
+            pause_s + self._rng.uniform(0.0, REFUSED_RETRY_AFTER_S),
+            req.deadline - deps.clock.now(),
+        )
+
     async def _relay(self, req, deadline, run_limit: int, runs: int):
         """Serves a request through another node.
 
@@ -262,6 +285,10 @@
         if upstream_response.not_run:
             if upstream_response.misdirected:
                 deps.record_failure(upstream, 'misdirected', eject_now=True)
+            elif upstream_response.retry_after_s:
+                deps.pauses.pause(
+                    upstream.name, upstream_response.retry_after_s
+                )
             return _AttemptResult(
                 None, False, f'not run, status {upstream_response.status}'
             )
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -499,7 +499,7 @@
                     eject_now=True,
                 )
             else:
-                deps.heads.mark_full(reservation)
+                deps.heads.mark_full(reservation, response.retry_after_s)
             return _AttemptResult.NOT_RUN
         state.runs += 1
         try:
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -92,13 +92,14 @@
     The runner crashes when it is about to send the first event of a request
     whose prompt has ``crash_part``, or any answer to one whose body is
     ``crash_body``, and starts again after ``RESTART_S``. All answers name
-    ``rate_limit``, unless it is empty.
+    ``rate_limit``, unless it is empty, and refusals ``retry_after``.
     """
 
     broken: BrokenAnswer | None = None
     crash_part: str = ''
     crash_body: bytes = b''
     rate_limit: str = ''
+    retry_after: str = ''
     answer: str = 'whole'
     event_s: float = EVENT_S
     events: int = 5
@@ -411,6 +412,8 @@
 
     def _refuse(self, writer, request_id: str) -> None:
         headers = [('Request-Id', request_id), ('Not-Executed', '1')]
+        if self.faults.retry_after:
+            headers.append(('Retry-After', self.faults.retry_after))
         _send(writer, 503, self._named(headers), b'')
 
     async def _send_broken(self, writer, seen, headers, broken) -> None:
