Count a relay of a request that has arrived before as a retry

Upstreams could get more retries than the budget of all nodes allows (BUDGET): a request that one had refused, or that broke off there, and was then sent on through another node, took nothing from the retry budget, and both nodes counted it as a client's request, which adds to the budget.

Why this works: the first node takes a retry before it relays what has arrived at an upstream; requests that reached none still go for nothing, so nodes that lost their links serve as before. The second node does not count the request again.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -816,6 +816,20 @@
         'pause_s = FULL_BACKOFF_S',
         'tests/platform/test_pauses.py',
     ),
+    Mutant(
+        'a relayed stream that has arrived before is a retry',
+        'plantainway/traffic/_stream.py',
+        'has_arrived = state.sends > state.unreached',
+        'has_arrived = False',
+        'tests/platform/test_relayed_retries.py',
+    ),
+    Mutant(
+        'relayed requests do not add to the budget',
+        'plantainway/traffic/_gateway.py',
+        'if not req.is_relayed:',
+        'if True:',
+        'tests/platform/test_relayed_retries.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -270,7 +270,8 @@
             return _types.Response(
                 503, retry_after_s=exc.retry_after_s, reason=exc.message
             )
-        self._deps.budget.record_request(service)
+        if not req.is_relayed:  # the first node counts it
+            self._deps.budget.record_request(service)
         if route.kind is deployment.RouteKind.STREAM:
             engine = cfg.engines.get(service)
             if self._deps.on_stream_request is not None and engine is not None:
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -128,6 +128,12 @@
         for sends in range(MAX_SENDS):
             may_run = runs == 0 or route.is_idempotent
             if may_run and deps.relay.is_needed(req, unreached):
+                # A retry if it has arrived at an upstream.
+                if sends > unreached and not deps.budget.try_take(service):
+                    deps.outcomes.log_decision(
+                        req, 'retry_denied', service=service
+                    )
+                    break
                 return await self._relay(req, deadline, run_limit, runs)
             candidates = self._candidates(service, tried_names)
             if not candidates and runs == 0:
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -230,7 +230,7 @@
                 if deps.relay.is_needed(state.req, state.unreached):
                     may_run = state.route.is_idempotent or state.runs == 0
                     if may_run:
-                        return await self._relay(state, sink)
+                        return await self._relay_within_budget(state, sink)
                 if state.sends and not deps.budget.try_take(state.service):
                     state.reason = 'retry budget exhausted'
                     return False
@@ -297,6 +297,14 @@
             )
         return state.req.run_limit(state.route) - (runs - ended_heads)
 
+    async def _relay_within_budget(self, state, sink) -> bool:
+        """Relays a stream; a retry if it has arrived at an upstream."""
+        has_arrived = state.sends > state.unreached
+        if has_arrived and not self._deps.budget.try_take(state.service):
+            state.reason = 'retry budget exhausted'
+            return False
+        return await self._relay(state, sink)
+
     async def _relay(self, state, sink) -> bool:
         """Serves the rest of a stream through another node.
 
