Send nothing new to a runner that says it leaves

Cause: Server-Leaving was not read.

Why this works: the header marks that incarnation as draining in the view, which entries do not undo; what an entry that drains leads to follows, also the replacement of a group, of which the leader hears from reports.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -830,6 +830,14 @@
         'if True:',
         'tests/platform/test_relayed_retries.py',
     ),
+    Mutant(
+        'an entry does not bring a leaving runner back',
+        'plantainway/edge/_view.py',
+        'if self._leaving.get(upstream.name) == upstream.started_ms:\n'
+        '                upstream =',
+        'if False:\n                upstream =',
+        'tests/platform/test_leaving.py',
+    ),
     Mutant(
         'no head follows that of a begun answer',
         'plantainway/platform/_ingress.py',
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -290,6 +290,7 @@
         self._client.on_answer.append(
             lambda _upstream, _rate: self._links.record_contact()
         )
+        self._client.on_leaving.append(self._view.mark_leaving)
         self._client.on_unreached.append(self._links.record_unreached)
         self._links.on_change.append(self._handle_links_changed)
         self._limits.on_named.append(self._leader_link.send_soon)
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -42,6 +42,7 @@
         )
         self.config_table.on_change.append(self._apply_configuration)
         self.upstream_table.on_change.append(self._apply_upstreams)
+        self._leaving: dict[str, int] = {}  # start times by name
         self.on_configuration = []
         self.on_removed = []
         self.on_group_changed = []
@@ -112,6 +113,35 @@
         for listener in self.on_upstreams_changed:
             listener()
 
+    def mark_leaving(self, upstream: deployment.Upstream) -> None:
+        """Marks an upstream as draining because it says so in an answer.
+
+        Its entry may not show it yet, in particular while the store is
+        unavailable. Holds for this incarnation, whatever its entry shows.
+        Calls the functions in ``on_group_changed`` and
+        ``on_upstreams_changed``.
+
+        Args:
+            upstream: The upstream as it was when the request was sent.
+        """
+        if self._leaving.get(upstream.name) == upstream.started_ms:
+            return
+        known = self.book.by_name.get(upstream.name)
+        if known is None or known.started_ms != upstream.started_ms:
+            return
+        self._leaving[upstream.name] = upstream.started_ms
+        if known.draining:
+            return
+        logs.event(
+            'upstream_leaving', upstream=known.name, service=known.service
+        )
+        for listener in self.on_group_changed:
+            listener(known.name)
+        changed = dataclasses.replace(known, draining=True)
+        self.book.apply([changed], [], self.upstream_table.version)
+        for listener in self.on_upstreams_changed:
+            listener()
+
     def _apply_configuration(self, _changed, _removed) -> None:
         row = self.config_table.rows.get(platform.CONFIG_KEY)
         if row is None:
@@ -151,6 +181,8 @@
             if upstream is None:
                 unreadable.append(row.key)
                 continue
+            if self._leaving.get(upstream.name) == upstream.started_ms:
+                upstream = dataclasses.replace(upstream, draining=True)
             decoded.append(upstream)
             self._handle_changed(upstream, row.version)
         self.book.apply(
@@ -163,6 +195,7 @@
         upstream = self.book.by_name.get(name)
         if upstream is None:
             return
+        self._leaving.pop(name, None)
         logs.event('upstream_gone', upstream=name, service=upstream.service)
         for listener in self.on_removed:
             listener(upstream)
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -29,6 +29,7 @@
 REPORT_BYTES_MAX = 1 << 20  # reports have some KB
 CONTROL_BYTES_MAX = 1 << 16  # of answers whose body is not used
 DEADLINE_MARGIN_MS = 5  # for returning the answer to the client
+LEAVING = '1'  # value of the header
 STATUS_UNAVAILABLE = 503
 PAUSE_MAX_S = 60.0  # for which a runner may ask for no requests
 STATUS_MISDIRECTED = 421  # another upstream has the address now
@@ -187,6 +188,8 @@
         on_answer: Called with a runner and the rate that its answer names, in
             requests a second: ``None`` if it names none, NaN if that is
             unreadable. Answers of another runner at its address do not count.
+        on_leaving: Called with a runner each time that its answer says that it
+            drains.
         on_unreached: Called with the name of a runner to which no connection
             could be opened.
     """
@@ -196,6 +199,7 @@
         self._unpooled_session = unpooled_session
         self._clock = clock
         self.on_answer = []
+        self.on_leaving = []
         self.on_unreached = []
 
     def _handle_unreached(self, upstream, exc) -> None:
@@ -205,9 +209,16 @@
             for listener in self.on_unreached:
                 listener(upstream.name)
 
+    def _handle_leaving(self, upstream, resp) -> None:
+        is_own = resp.status != STATUS_MISDIRECTED
+        if is_own and resp.headers.get(_names.SERVER_LEAVING) == LEAVING:
+            for listener in self.on_leaving:
+                listener(upstream)
+
     def _handle_answer(self, upstream, resp) -> None:
         if resp.status == STATUS_MISDIRECTED:
             return
+        self._handle_leaving(upstream, resp)
         per_second = _parse_rate_limit(resp.headers, upstream.name)
         for listener in self.on_answer:
             listener(upstream, per_second)
@@ -365,6 +376,7 @@
             return supply.OrderOutcome(
                 supply.OrderStatus.UNKNOWN, repr(exc)[:80]
             )
+        self._handle_leaving(upstream, resp)
         return supply.OrderOutcome(
             _ORDER_STATUSES.get(resp.status, supply.OrderStatus.REFUSED),
             f'status {resp.status}',
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -92,7 +92,8 @@
     The runner crashes when it is about to send the first event of a request
     whose prompt has ``crash_part``, or any answer to one whose body is
     ``crash_body``, and starts again after ``RESTART_S``. All answers name
-    ``rate_limit``, unless it is empty, and refusals ``retry_after``.
+    ``rate_limit``, unless it is empty, and refusals ``retry_after``;
+    all have ``leaving`` as their Server-Leaving.
     """
 
     broken: BrokenAnswer | None = None
@@ -100,6 +101,7 @@
     crash_body: bytes = b''
     rate_limit: str = ''
     retry_after: str = ''
+    leaving: str = ''
     answer: str = 'whole'
     event_s: float = EVENT_S
     events: int = 5
@@ -335,8 +337,11 @@
         _send(writer, status, headers, body)
 
     def _named(self, headers) -> list:
-        limit = self.faults.rate_limit
-        return [*headers, ('Server-Limit', limit)] if limit else headers
+        named = [
+            ('Server-Limit', self.faults.rate_limit),
+            ('Server-Leaving', self.faults.leaving),
+        ]
+        return [*headers, *(item for item in named if item[1])]
 
     async def _answer(self, reader, writer, seen) -> None:
         request_id = seen.headers.get('request-id', '')
