Test that a waiting stream is refused before its node ends

benchmarks.mutants showed that no test turned red when streams that wait in the queue of a stopping node were not refused early: the check at their turn hid it. The new test holds all places until the node ends; without the early refusal the waiting stream gets 504 at the end instead of 503 at once. No change of the product.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -242,8 +242,8 @@
     Mutant(
         'unsafe requests run once',
         'plantainway/traffic/_plain.py',
-        'route.is_idempotent and runs < route.max_attempts',
-        'runs < route.max_attempts',
+        'route.is_idempotent and runs < run_limit',
+        'runs < run_limit',
         'tests/platform/test_node_requests.py',
     ),
     Mutant(
@@ -1045,8 +1045,8 @@
         'answers of another runner at the address name no limit',
         'plantainway/platform/_upstreams.py',
         '        if resp.status == STATUS_MISDIRECTED:\n            return\n'
-        '        per_second',
-        '        per_second',
+        '        self._handle_leaving',
+        '        self._handle_leaving',
         'tests/platform/test_rate_limits.py',
     ),
 )
--- a/tests/platform/test_late_requests.py
+++ b/tests/platform/test_late_requests.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from plantainway import traffic
 from tests.platform import conftest
 
 STOP_S = 1.6  # between SIGTERM and SIGKILL
@@ -144,7 +145,7 @@
         assert started.get(request_id, 0.0) < stop_at + STOP_S - LONG_S
 
 
-async def _send_streams(node, client, count, name):
+async def _send_streams(node, client, count, name, path='/stream/x'):
     """Sends streams at once; returns their ids with their responses."""
     ids = [f'{name}-{number}' for number in range(count)]
     answers = await asyncio.gather(
@@ -152,7 +153,7 @@
             conftest.send_request(
                 client,
                 node,
-                '/stream/x',
+                path,
                 'POST',
                 request_id=request_id,
                 Model='m0',
@@ -163,3 +164,32 @@
         )
     )
     return list(zip(ids, answers))
+
+
+async def test_waiting_stream_is_refused_before_the_node_ends(
+    short_node, runners, client
+):
+    """It is not held until then if its turn does not come in time."""
+    for runner in runners.values():
+        runner.faults.event_s = LONG_EVENT_S
+    await _send_streams(short_node, client, 2, 'learned')
+    for runner in runners.values():
+        runner.seen.clear()
+        runner.faults.answer = 'hang'
+    capacity = 2 * (4 + traffic.MAX_QUEUED_PER_GROUP)
+    running = asyncio.ensure_future(
+        _send_streams(short_node, client, capacity, 'r', '/once/x')
+    )
+    await conftest.until(
+        lambda: sum(len(one.seen) for one in runners.values()) == capacity,
+        'all full',
+    )
+    waiting = asyncio.ensure_future(
+        _send_streams(short_node, client, 1, 'w', '/once/x')
+    )
+    await conftest.until(
+        lambda: sum(short_node.dump()['queues'].values()) == 1, 'waiting'
+    )
+    await short_node.stop()
+    assert {got.status for _id, got in await running} == {504}
+    assert {got.status for _id, got in await waiting} == {503}
