Log and count answers that were cut off as aborted

From logs and metrics nobody could tell a stream that this node cut off from a whole one: both ended as served with status 0, so no line named a request of the incident. An answer that had begun and was not completed now ends as aborted, with its reason, and request_ended tells whether an answer had begun and whether the node was stopping. A stalled attempt logs the silence that was allowed and by how much the loop was late, which tells a silent engine from a late node. No decision has changed.

--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -73,11 +73,8 @@
         """Ends the body, which marks it as complete; see the base class."""
         await self.response.write_eof()
 
-    def abort(self) -> None:
-        """Aborts the connection, so that the answer is seen to be incomplete.
-
-        See the base class.
-        """
+    def _abort(self) -> None:
+        """Aborts the connection; see the base class."""
         transport = self._request.transport
         if transport is not None:
             transport.abort()
@@ -184,7 +181,7 @@
                 status=answer.status,
                 reason=answer.reason,
             )
-            sink.abort()
+            sink.abort('answer begun twice')
             return sink.response
         return self._encode_response(req, answer)
 
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -176,8 +176,9 @@
     async def handle(self, req, sink):
         """Serves a request, then logs and counts how it ended.
 
-        A request that raises is counted as ``cancelled``, a stream that was
-        aborted as ``served``.
+        A request that raises, as when its client leaves, is counted as
+        ``cancelled``, a stream that had begun and was not completed as
+        ``aborted``.
 
         Args:
             req: The request.
@@ -207,7 +208,7 @@
             else:
                 route = cfg.routes.find(req.host.partition(':')[0], req.path)
                 response = await self._handle_in_time(req, route, cfg, sink)
-            end = _end_label(response)
+            end = _end_label(response, sink)
             return response
         finally:
             self.in_progress -= 1
@@ -216,7 +217,9 @@
                 route,
                 end,
                 status=response.status if response else 0,
-                reason=response.reason if response else '',
+                reason=_end_reason(response, sink),
+                begun=sink is not None and sink.is_started,
+                stopping=self._ends_at is not None,
                 configuration=cfg.version if cfg else 0,
             )
 
@@ -234,7 +237,7 @@
             if not scope.expired():
                 raise
             if sink is not None and sink.is_started:
-                sink.abort()
+                sink.abort('node ends')
                 return None
             return _types.Response(GATEWAY_TIMEOUT, reason='node ends')
         finally:
@@ -282,13 +285,19 @@
         return await self._plain.serve(req, route, service, account_name)
 
 
-def _end_label(response) -> str:
+def _end_reason(response, sink) -> str:
+    if response is not None:
+        return response.reason
+    return sink.abort_reason if sink is not None else ''
+
+
+def _end_label(response, sink) -> str:
     """Returns the ``end`` label under which a request is counted.
 
     Error responses of upstreams carry no reason; they are passed on.
     """
     if response is None:
-        return 'served'
+        return 'aborted' if sink.abort_reason else 'served'
     if response.status < 400:
         return 'served'
     if response.reason:
--- a/plantainway/traffic/_relay.py
+++ b/plantainway/traffic/_relay.py
@@ -209,10 +209,10 @@
                     self._outcomes.record_first_event(req)
                     await sink.start(response.status, response.headers)
                 await sink.write(data)
-        except errors.UpstreamError:
+        except errors.UpstreamError as exc:
             if not is_started:
                 raise
-            sink.abort()
+            sink.abort(f'relay broke off: {exc.message}')
             return None
         if not is_started:
             await sink.start(response.status, response.headers)
--- a/plantainway/traffic/_stall_timer.py
+++ b/plantainway/traffic/_stall_timer.py
@@ -12,6 +12,10 @@
         timeout: Timeout around the attempt, which it expires.
         may_abandon: Function that returns whether another attempt is allowed.
             While it is not, the attempt goes on.
+
+    Attributes:
+        timeout_s: Longest silence in seconds.
+        late_s: By how much it has expired late, in seconds.
     """
 
     def __init__(self, timeout, may_abandon):
@@ -19,7 +23,9 @@
         self._timeout = timeout
         self._may_abandon = may_abandon
         self._handle = None
+        self._due_at = 0.0
         self.timeout_s = 0.0
+        self.late_s = 0.0
 
     def arm(self, timeout_s: float) -> None:
         """Starts the timer, replacing a running one.
@@ -29,6 +35,7 @@
         """
         self.disarm()
         self.timeout_s = timeout_s
+        self._due_at = self._loop.time() + timeout_s
         self._handle = self._loop.call_later(timeout_s, self._on_expired)
 
     def disarm(self) -> None:
@@ -39,6 +46,7 @@
 
     def _on_expired(self) -> None:
         if self._may_abandon():
+            self.late_s = self._loop.time() - self._due_at
             self._timeout.reschedule(self._loop.time())
         else:
             self._handle = self._loop.call_later(
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -46,7 +46,9 @@
     all that were sent, ``unreached`` those for which no connection could be
     opened. ``is_attempt_running`` tells whether an attempt or a relay is in
     progress that may run. ``lost_heads`` are those at which the stream stalled
-    or broke off. Times are monotonic seconds.
+    or broke off. ``silence_s`` is the silence for which the last attempt was
+    given up, ``late_s`` by how much the loop noticed it late. Times are
+    monotonic seconds.
     """
 
     req: _types.Request
@@ -70,6 +72,8 @@
     unreached: int = 0
     is_attempt_running: bool = False
     longest_pass_s: float = 0.0
+    silence_s: float = 0.0
+    late_s: float = 0.0
 
     @property
     def answer_tokens(self) -> int:
@@ -208,7 +212,7 @@
     def _finish_unserved(self, state, sink):
         """Returns an error response, ``None`` after it aborted the sink."""
         if state.is_started:
-            sink.abort()
+            sink.abort(state.reason)
             return None
         if state.error_response is not None:
             return state.error_response
@@ -246,6 +250,7 @@
                 return False
             state.sends += 1
             state.is_attempt_running = True
+            state.silence_s = state.late_s = 0.0
             result = await self._run_attempt(state, reservation, sink)
             state.is_attempt_running = False  # runs includes it now
             if result is _AttemptResult.DONE:
@@ -259,6 +264,8 @@
                 reason=state.reason,
                 runs=state.runs,
                 after_event=state.last_event_id,
+                silence_ms=int(state.silence_s * 1000),
+                late_ms=int(state.late_s * 1000),
                 parts=','.join(state.req.crash_keys),
             )
             state.excluded_heads.add(reservation.head.name)
@@ -458,6 +465,8 @@
             deps.stalls.record_stall(head.name, stall_timer.timeout_s)
             deps.record_failure(head, 'stalled')
             state.reason = 'stalled'
+            state.silence_s = stall_timer.timeout_s
+            state.late_s = stall_timer.late_s
             return _AttemptResult.STALLED
         except errors.UpstreamError as exc:
             state.reason = exc.message
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -240,9 +240,11 @@
 
     Attributes:
         is_started: Whether status and headers were sent.
+        abort_reason: Why the response was aborted, empty if it was not.
     """
 
     is_started: bool = False
+    abort_reason: str = ''
 
     @abc.abstractmethod
     async def start(self, status: int, headers) -> None:
@@ -265,6 +267,15 @@
     async def finish(self) -> None:
         """Ends the response as complete."""
 
+    def abort(self, reason: str) -> None:
+        """Aborts the response so that it can't look complete.
+
+        Args:
+            reason: Why, for the log.
+        """
+        self.abort_reason = self.abort_reason or reason
+        self._abort()
+
     @abc.abstractmethod
-    def abort(self) -> None:
-        """Aborts the response so that it can't look complete."""
+    def _abort(self) -> None:
+        """Aborts the connection of the response."""
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -88,7 +88,9 @@
     ends after ``events`` events: with a connection reset (``reset``), with a
     part of an event and a reset (``torn``), or with an open connection that
     stays idle (``silent``) or gets one byte of an event every ``DRIP_S``
-    (``drip``). Events come every ``event_s``. ``broken`` goes before both.
+    (``drip``). Events come every ``event_s``; ``silence_s`` is how long a
+    stream stays silent after ``silent_after`` events, before it goes on.
+    ``broken`` goes before all of these.
     The runner crashes when it is about to send the first event of a request
     whose prompt has ``crash_part``, or any answer to one whose body is
     ``crash_body``, and starts again after ``RESTART_S``. All answers name
@@ -106,6 +108,8 @@
     event_s: float = EVENT_S
     events: int = 5
     stream_end: str = 'whole'
+    silence_s: float = 0.0
+    silent_after: int = 1
 
 
 class RunnerStandIn:
@@ -493,7 +497,10 @@
         last = self.events
         if is_interrupted:
             last = min(first + self.faults.events - 1, self.events)
+        silence_s = self.faults.silence_s
         for number in range(first, last + 1):
+            if silence_s and number == first + self.faults.silent_after:
+                await asyncio.sleep(silence_s)
             await self._wait_if_silent(writer)
             _chunk(writer, event(number))
             await writer.drain()
--- a/tests/traffic/test_stream.py
+++ b/tests/traffic/test_stream.py
@@ -58,7 +58,7 @@
     async def finish(self):
         """Sends nothing."""
 
-    def abort(self):
+    def _abort(self):
         """Records the call."""
         self.is_aborted = True
 
