Wait for the prompts ahead of a request before its head counts as silent

A request was taken away from the queue of a sound head after 0.35 s without a first event: twice the longest pass holds for a free place only. Nodes that see the same loads send bursts to one head, whose last prompts are read later than that. Each such request became one more arrival.

Now the time to a first event grows by the prompts ahead: the most requests that the head has had since the sending, as nodes report them, times what a typical prompt takes.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -468,7 +468,7 @@
     Mutant(
         'a stream that ends with its connection has an event',
         'plantainway/traffic/_stream_attempt.py',
-        'if response.ends_with_connection and is_empty:',
+        'if response.ends_with_connection and not self._is_begun:',
         'if False:',
         'tests/platform/test_answer_ends.py',
     ),
--- a/plantainway/deployment/_configuration.py
+++ b/plantainway/deployment/_configuration.py
@@ -116,6 +116,21 @@
         )
         return self.steps_per_pass * (step_s + chunk_s) * factor
 
+    def prefill_duration_s(self, model: str) -> float:
+        """Returns how long a group prefills a typical prompt.
+
+        Assumes that all slots are in use.
+
+        Args:
+            model: Name of the model.
+
+        Returns:
+            Duration in seconds.
+        """
+        step_s = self.max_pass_duration_s(model) / max(self.steps_per_pass, 1)
+        chunks = self.typical_prompt_tokens / max(self.prefill_chunk_tokens, 1)
+        return chunks * step_s
+
     def estimate_busy_s(
         self, model: str, prompt: float, answer: float
     ) -> float:
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -130,6 +130,7 @@
             longest_pass_s=engine.max_pass_duration_s(req.model)
             if engine
             else 0.0,
+            prefill_s=engine.prefill_duration_s(req.model) if engine else 0.0,
         )
         self._in_progress.add(state)
         try:
--- a/plantainway/traffic/_stream_state.py
+++ b/plantainway/traffic/_stream_state.py
@@ -16,7 +16,8 @@
     attempts were sent to and that did not refuse them, ``silent`` the attempts
     whose silence was counted against their heads. ``unreached`` counts the
     attempts for which no connection could be opened. ``error_response`` is
-    that of an attempt that ran, ``refusal`` the answer if none did. Times are
+    that of an attempt that ran, ``refusal`` the answer if none did.
+    ``prefill_s`` is how long an engine reads a typical prompt. Times are
     monotonic seconds.
     """
 
@@ -31,6 +32,7 @@
     last_event_id: int | None
     attempts: _attempts.AnswerAttempts
     longest_pass_s: float = 0.0
+    prefill_s: float = 0.0
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
     open_attempts: dict = dataclasses.field(default_factory=dict)
--- a/tests/platform/test_silent_streams.py
+++ b/tests/platform/test_silent_streams.py
@@ -5,11 +5,13 @@
 
 import pytest
 
+from plantainway import traffic
 from tests.platform import conftest
 from tests.platform import processes
 from tests.platform import runner_standin
 
 SILENCE_S = 1.2
+PREFILL_S = 0.12  # of one prompt
 EVENTS = 5
 WHOLE = b''.join(runner_standin.event(n) for n in range(1, EVENTS + 1))
 HEADERS = {'Model': 'm0', 'Token_Count': '10,10', 'Deadline_Ms': '8000'}
@@ -115,3 +117,28 @@
         await process.stop()
     assert [(got.body, got.is_whole) for got in answers] == [(WHOLE, True)] * 8
     assert sum(len(one.seen) for one in runners.values()) == 8
+
+
+@pytest.mark.parametrize('is_lost', [False, True])
+async def test_prompts_ahead_are_no_silence(
+    store, node, runners, client, is_lost
+):
+    """Guards against requests taken away from the queue of their head."""
+    cfg = conftest.configuration(version=4)
+    cfg['services'][1]['engine']['usual'] = {'prompt': 5000, 'answer': 10}
+    store.put('op', 'config', cfg)
+    await conftest.until(
+        lambda: node.dump()['configuration'] == 4, 'configuration'
+    )
+    count = 2 * (4 + traffic.MAX_QUEUED_PER_GROUP)
+    for runner in runners.values():
+        runner.faults.prefill_s = PREFILL_S
+    if is_lost:
+        for runner in conftest.open_heads(runners)[:1]:
+            runner.faults.answer = 'hang'
+    answers = await asyncio.gather(
+        *(send(client, node, number) for number in range(count))
+    )
+    assert all(got.is_whole and got.status == 200 for got in answers)
+    sends = sum(len(one.seen) for one in runners.values())
+    assert (sends > count) == is_lost, sends
