Count a relayed attempt with the runs that the other node may make

A stream whose relay broke off was relayed again without a limit while the links were lost: the runs handed to other nodes were counted as one, and lost links excused all runs.

The new test was red in all three rows before.

--- a/plantainway/traffic/_attempts.py
+++ b/plantainway/traffic/_attempts.py
@@ -64,6 +64,7 @@
         self._run_limit = run_limit
         self._has_begun = has_begun
         self._phases: dict[int, Phase] = {}
+        self._runs_of: dict[int, int] = {}
         self._opened = 0
         self._retry_at = 0.0
         self._backoff_s = MIN_BACKOFF_S
@@ -91,15 +92,17 @@
         self._phases[self._opened] = Phase.OPENING
         return self._opened
 
-    def record_sent(self, number: int) -> None:
+    def record_sent(self, number: int, max_runs: int = 1) -> None:
         """Records that an attempt is about to be sent: it may run.
 
         Args:
             number: Number of the attempt.
+            max_runs: How often it may run, through another node.
         """
         self._phases[number] = Phase.RUNNING
+        self._runs_of[number] = max_runs
         self.sends += 1
-        self.runs += 1
+        self.runs += max_runs
 
     def record_silence(self, number: int) -> None:
         """Records that an attempt has sent nothing for too long.
@@ -137,8 +140,8 @@
             now: Monotonic seconds.
             is_final: As for ``record_failure``.
         """
-        if self._phases.pop(number) is not Phase.OPENING:
-            self.runs -= 1
+        del self._phases[number]
+        self.runs -= self._runs_of.pop(number, 0)
         self.refusals += 1
         self._is_final = is_final
         self._retry_at = now + self._backoff_s
--- a/plantainway/traffic/_relay.py
+++ b/plantainway/traffic/_relay.py
@@ -156,13 +156,14 @@
                 if response.status in REFUSALS and not response.signed:
                     refusal = self._refusal_of(req, response)
                     continue
-                return await self._pass_on(
+                found = await self._pass_on(
                     req, response, sink, resumed is not None
                 )
+                if found is None and sink.abort_reason:
+                    self._record_failure(node)
+                return found
             except errors.UpstreamError as exc:
-                self._failed_until[node.node] = (
-                    self._clock.now() + FAILED_NODE_PAUSE_S
-                )
+                self._record_failure(node)
                 logs.event(
                     'relay_failed',
                     request=req.request_id,
@@ -179,6 +180,9 @@
                     response.close()
         return refusal
 
+    def _record_failure(self, node) -> None:
+        self._failed_until[node.node] = self._clock.now() + FAILED_NODE_PAUSE_S
+
     def _refusal_of(self, req, response) -> _types.Response:
         return _types.Response(
             503,
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -193,14 +193,14 @@
             if handle is not None:
                 handle.cancel()
 
-    def _uncounted_runs(self, state) -> float:
+    def _uncounted_runs(self, state) -> int:
         """Returns how many runs do not count against the route's limit.
 
         They are those at heads that have disappeared or restarted since, and
-        all if the heads are cut off from this node.
+        all of this node's own if the heads are cut off from it.
         """
         if self._deps.relay.is_needed(state.req):
-            return math.inf
+            return len(state.run_heads)
         return self._ended_heads(state)
 
     def _ended_heads(self, state) -> int:
@@ -270,7 +270,7 @@
 
     def _relayed_runs(self, state) -> int:
         """Returns how often a request may run through another node."""
-        runs = state.attempts.runs - self._ended_heads(state)
+        runs = state.attempts.runs - self._uncounted_runs(state)
         return max(state.req.run_limit(state.route) - runs, 1)
 
     def _handle_refusal(self, state, number: int, exc) -> None:
--- a/plantainway/traffic/_stream_attempt.py
+++ b/plantainway/traffic/_stream_attempt.py
@@ -357,7 +357,7 @@
             max_runs: How often the request may run there.
         """
         deps, state = self._deps, self._state
-        state.attempts.record_sent(self._number)
+        state.attempts.record_sent(self._number, max_runs)
         sink = _RelayedSink(self)
         response = await deps.relay.serve(
             state.req,
--- a/tests/traffic/test_attempts.py
+++ b/tests/traffic/test_attempts.py
@@ -198,3 +198,24 @@
         assert not phases
         if not found.is_complete and has_begun:
             assert not found.may_run()
+
+
+@pytest.mark.parametrize(
+    'max_runs, end, may_run',
+    [
+        (1, 'refusal', True),
+        (2, 'refusal', True),
+        (1, 'failure', True),
+        (2, 'failure', False),
+    ],
+)
+def test_relayed_attempt_counts_with_the_runs_that_it_may_have(
+    max_runs, end, may_run
+):
+    """Guards against runs beyond the limit when a relay breaks off."""
+    found = _attempts.AnswerAttempts(True, 2)
+    number = found.open()
+    found.record_sent(number, max_runs)
+    args = (NOW,) if end == 'refusal' else ()
+    getattr(found, f'record_{end}')(number, *args)
+    assert found.may_run() is may_run
--- a/tests/traffic/test_stream.py
+++ b/tests/traffic/test_stream.py
@@ -90,21 +90,24 @@
         await asyncio.Event().wait()
 
 
-async def serve_relayed(begins, is_idempotent=True, events=b''):
-    """Serves a stream through a silent relay until the route's timeout."""
+async def serve_relayed(
+    begins, is_idempotent=True, events=b'', relay=None, max_attempts=2
+):
+    """Serves a stream through a relay, by default a silent one."""
     clock = clocks.MonotonicClock()
     deps = types.SimpleNamespace(
         clock=clock,
-        relay=SilentRelay(begins, events),
+        relay=relay or SilentRelay(begins, events),
         upstreams=deployment.UpstreamRegistry(),
         outcomes=traffic.OutcomeRecorder(clock),
+        budget=types.SimpleNamespace(try_take=lambda service: True),
     )
     route = types.SimpleNamespace(
         latency_target_ms=10,
         max_event_gap_ms=10,
         timeout_ms=50,
         is_idempotent=is_idempotent,
-        max_attempts=2,
+        max_attempts=max_attempts,
     )
     now = clock.now()
     req = traffic.Request('r', 'GET', '/x', 'h', [], b'', now, now + 5.0)
@@ -135,3 +138,30 @@
     """Guards against a 503 for a request that may have run (REFUSED)."""
     got, _sink = await serve_relayed(False, is_idempotent)
     assert got.status == 504
+
+
+class BreakingRelay:
+    """Relay to nodes that begin a stream and break off."""
+
+    def __init__(self):
+        self.max_runs = []
+
+    def is_needed(self, _req, _unreached=0):
+        """Returns whether a request should be relayed: always."""
+        return True
+
+    async def serve(self, _req, _deadline, max_runs, sink, resumed=None):
+        """Sends one event."""
+        self.max_runs.append(max_runs)
+        await sink.start(200, ())
+        await sink.write(b'id: %d\n\n' % ((resumed or 0) + 1))
+        sink.abort('broke off')
+
+
+@pytest.mark.parametrize('limit', [1, 2, 3])
+async def test_relays_that_break_off_stay_within_the_limit_of_runs(limit):
+    """Guards against a request that is relayed until its deadline."""
+    relay = BreakingRelay()
+    got, sink = await serve_relayed(True, relay=relay, max_attempts=limit)
+    assert got is None and sink.is_aborted
+    assert sum(relay.max_runs) <= limit
