Do not abort an answer whose end is being sent

The end of a stream is sent by the task of an attempt. If the node's end, or the deadline, came while the last bytes were on their way, a whole answer was aborted and logged as 'node ends'. A relayed stream's first event is counted by the relay alone.

--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -237,7 +237,8 @@
             if not scope.expired():
                 raise
             if sink is not None and sink.is_started:
-                sink.abort('node ends')
+                if not sink.is_finished:
+                    sink.abort('node ends')
                 return None
             return _types.Response(GATEWAY_TIMEOUT, reason='node ends')
         finally:
--- a/plantainway/traffic/_stream_attempt.py
+++ b/plantainway/traffic/_stream_attempt.py
@@ -332,7 +332,8 @@
             return
         self._claim()
         if not state.is_started:
-            self._deps.outcomes.record_first_event(state.req)
+            if self._head is not None:  # the relay records its own
+                self._deps.outcomes.record_first_event(state.req)
             await state.sink.start(response.status, response.headers)
         state.last_event_at = self._deps.clock.now()
         if pending:
@@ -345,6 +346,7 @@
             await sink.start(response.status, response.headers)
         if self._splitter.remainder:
             await sink.write(self._splitter.remainder)  # blank lines
+        sink.is_finished = True
         await sink.finish()
         self._state.attempts.record_end(self._number)
 
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -240,10 +240,12 @@
 
     Attributes:
         is_started: Whether status and headers were sent.
+        is_finished: Whether its end was sent as well, or is being sent.
         abort_reason: Why the response was aborted, empty if it was not.
     """
 
     is_started: bool = False
+    is_finished: bool = False
     abort_reason: str = ''
 
     @abc.abstractmethod
