Limit what a silent stream asks for while heads refuse it

While an attempt was silent and all heads refused another one, each refusal cost a retry and one more arrival at a head, 22 in 8 s for one stream; each round reserved a place before it asked the retry budget; four refusals during the silence ended the answer when the silent attempt broke; and an answer that could not go on, as its prompt is quarantined, was held until its deadline.

Now four refused sends beside a silent attempt are the limit until something happens; the budget is asked before the queue; a failure forgets the refusals; a lasting refusal ends an answer for which nothing is open. A task that was cancelled from within counts as a failure. Rows in test_attempts, test_stream and test_silent_streams (reservations, sends).

--- a/plantainway/traffic/_attempts.py
+++ b/plantainway/traffic/_attempts.py
@@ -11,7 +11,7 @@
 import math
 
 MAX_OPEN = 4  # attempts at once; the route's limit of runs is usually lower
-MAX_REFUSALS = 4  # of an answer that nothing runs for
+MAX_REFUSALS = 4  # of requests sent beside a silent attempt or none
 # Pauses between refusals of an answer that goes on; doubled each time.
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.4
@@ -55,7 +55,7 @@
     Attributes:
         runs: Attempts that may have run, open ones included.
         sends: Attempts that were sent.
-        refusals: Attempts that did not run.
+        refusals: Attempts that were refused since the last event or failure.
         is_complete: Whether an attempt has delivered the whole answer.
     """
 
@@ -69,6 +69,7 @@
         self._retry_at = 0.0
         self._backoff_s = MIN_BACKOFF_S
         self._is_final = False
+        self._is_ended = False
         self.runs = 0
         self.sends = 0
         self.refusals = 0
@@ -127,11 +128,19 @@
             del self._phases[item]
         self._phases[number] = Phase.RUNNING
         self._has_begun = True
-        self._backoff_s = MIN_BACKOFF_S
+        self._forget_refusals()
         return others
 
+    def _forget_refusals(self) -> None:
+        self.refusals = 0
+        self._backoff_s = MIN_BACKOFF_S
+
     def record_refusal(
-        self, number: int, now: float, is_final: bool = False
+        self,
+        number: int,
+        now: float,
+        is_final: bool = False,
+        is_lasting: bool = False,
     ) -> None:
         """Records that an attempt was refused, so that it did not run.
 
@@ -139,11 +148,13 @@
             number: Number of the attempt.
             now: Monotonic seconds.
             is_final: As for ``record_failure``.
+            is_lasting: Whether further attempts would be refused as well.
         """
-        del self._phases[number]
+        is_sent = self._phases.pop(number) is not Phase.OPENING
         self.runs -= self._runs_of.pop(number, 0)
-        self.refusals += 1
+        self.refusals += is_sent
         self._is_final = is_final
+        self._is_ended = is_lasting
         self._retry_at = now + self._backoff_s
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
 
@@ -157,6 +168,7 @@
         """
         del self._phases[number]
         self._is_final = is_final
+        self._forget_refusals()
 
     def record_end(self, number: int) -> None:
         """Records that an attempt has delivered the whole answer.
@@ -188,9 +200,7 @@
             return Decision(Action.END)
         if self._phases and not self.is_only_silent:
             return Decision(Action.WAIT)
-        may_open = len(self._phases) < MAX_OPEN and self.may_run(
-            uncounted_runs
-        )
+        may_open = self._may_open(uncounted_runs)
         if not self._phases and not self._has_begun:
             return self._decide_without_begin(may_open)
         if may_open and now >= self._retry_at:
@@ -201,6 +211,18 @@
             return Decision(Action.WAIT, now + RECHECK_S)
         return Decision(Action.END)
 
+    def _may_open(self, uncounted_runs: int) -> bool:
+        """Returns whether one more attempt may be opened, now or later.
+
+        A silent attempt is left alone once requests that were sent beside it
+        have been refused several times: each is one more arrival at a head.
+        """
+        if self._is_ended or len(self._phases) >= MAX_OPEN:
+            return False
+        if self._phases and self.refusals >= MAX_REFUSALS:
+            return False
+        return self.may_run(uncounted_runs)
+
     def _decide_without_begin(self, may_open: bool) -> Decision:
         """Decides for an answer that has not begun and that nothing runs for.
 
--- a/plantainway/traffic/_budget.py
+++ b/plantainway/traffic/_budget.py
@@ -52,6 +52,14 @@
         """
         self._counter(self._requests, service).add(self._clock.now())
 
+    def has_left(self, service: str) -> bool:
+        """Returns whether a retry would be allowed now, and takes none.
+
+        Args:
+            service: Name of the service.
+        """
+        return self._retries_left(service) >= 1
+
     def try_take(self, service: str) -> bool:
         """Takes one retry from the budget if it allows one.
 
@@ -61,6 +69,12 @@
         Returns:
             Whether the retry is allowed; only an allowed one is counted.
         """
+        if not self.has_left(service):
+            return False
+        self._counter(self._retries, service).add(self._clock.now())
+        return True
+
+    def _retries_left(self, service: str) -> float:
         now = self._clock.now()
         retries = self._counter(self._retries, service)
         requests = self._counter(self._requests, service)
@@ -71,10 +85,7 @@
             self._ratio * requests.count(now)
             + self._slack * age_ratio / max(self.node_count, 1)
         )
-        if retries.count(now) + 1 > allowed:
-            return False
-        retries.add(now)
-        return True
+        return allowed - retries.count(now)
 
     def _counter(self, counters, service: str) -> '_SlidingWindowCounter':
         counter = counters.get(service)
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -148,6 +148,8 @@
 
     def _finish_unserved(self, state):
         """Returns an error response, ``None`` after it aborted the sink."""
+        if state.sink.is_finished:
+            return None
         if state.is_started:
             state.sink.abort(state.reason)
             return None
@@ -245,9 +247,12 @@
                     self._take_retry(state)
                 await attempt.relay(self._relayed_runs(state))
                 return
+            is_retry = state.attempts.sends > 0
+            if is_retry and not deps.budget.has_left(state.service):
+                raise _no_retry_error()
             reservation = await self._reserve_allowed(state)
             try:
-                if state.attempts.sends:
+                if is_retry:
                     self._take_retry(state)
             except errors.NotRunError:
                 deps.heads.release(reservation)
@@ -264,9 +269,7 @@
             NotRunError: If there is none.
         """
         if not self._deps.budget.try_take(state.service):
-            raise errors.NotRunError(
-                'retry budget exhausted', 'stream', reason='unavailable'
-            )
+            raise _no_retry_error()
 
     def _relayed_runs(self, state) -> int:
         """Returns how often a request may run through another node."""
@@ -277,7 +280,10 @@
         """Records that no head takes an attempt."""
         state.reason = exc.message
         state.attempts.record_refusal(
-            number, self._deps.clock.now(), is_final=True
+            number,
+            self._deps.clock.now(),
+            is_final=True,
+            is_lasting=exc.reason == 'quarantined',
         )
         state.refusal = _types.Response(
             503,
@@ -378,6 +384,8 @@
             del state.open_attempts[number]
             if not task.cancelled():
                 task.result()
+            elif number in state.attempts.open_numbers:
+                state.attempts.record_failure(number)
 
 
 async def _cancel_all(tasks) -> None:
@@ -389,6 +397,12 @@
         await asyncio.wait(pending)
 
 
+def _no_retry_error() -> errors.NotRunError:
+    return errors.NotRunError(
+        'retry budget exhausted', 'stream', reason='unavailable'
+    )
+
+
 def _leaving_error() -> errors.NotRunError:
     return errors.NotRunError(
         'node ends before the stream would',
--- a/tests/platform/test_silent_streams.py
+++ b/tests/platform/test_silent_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from plantainway import traffic
+from plantainway.traffic import _attempts
 from tests.platform import conftest
 from tests.platform import processes
 from tests.platform import runner_standin
@@ -68,9 +69,15 @@
 
 @pytest.mark.parametrize('spent', ['budget', 'stop'])
 async def test_silent_stream_that_may_not_be_sent_again_is_not_cut(
-    node, runners, client, spent
+    node, runners, client, monkeypatch, spent
 ):
     """Guards against begun answers that end for a silence (LOST)."""
+    reserved = []
+    heads = node._dependencies.heads
+    reserve = heads.reserve
+    monkeypatch.setattr(
+        heads, 'reserve', lambda *args: reserved.append(1) or reserve(*args)
+    )
     for runner in runners.values():
         runner.faults.silence_s = SILENCE_S
     task = send(client, node)
@@ -84,7 +91,11 @@
         stopping = asyncio.ensure_future(node.stop())
     got = await task
     assert (got.status, got.body, got.is_whole) == (200, WHOLE, True)
-    assert sum(len(one.seen) for one in runners.values()) >= 1
+    sends = sum(len(one.seen) for one in runners.values())
+    if spent == 'budget':
+        assert (sends, len(reserved)) == (1, 1)
+    else:
+        assert 1 < sends <= 1 + _attempts.MAX_REFUSALS
     if stopping is not None:
         await stopping
 
--- a/tests/traffic/test_attempts.py
+++ b/tests/traffic/test_attempts.py
@@ -219,3 +219,41 @@
     args = (NOW,) if end == 'refusal' else ()
     getattr(found, f'record_{end}')(number, *args)
     assert found.may_run() is may_run
+
+
+def test_refused_sends_beside_a_silent_attempt_are_limited():
+    """Guards against a silent stream that spends the retry budget."""
+    found = after(('sent', 1), ('event', 1), ('silence', 1))
+    for _refusal in range(_attempts.MAX_REFUSALS):
+        assert found.decide(LATER).action is Action.OPEN
+        number = found.open()
+        found.record_sent(number)
+        found.record_refusal(number, NOW)
+    decision = found.decide(LATER)
+    assert decision.action is Action.WAIT
+    found.record_failure(1)  # now the answer needs another attempt
+    assert found.decide(LATER).action is Action.OPEN
+
+
+@pytest.mark.parametrize('has_begun', [False, True])
+def test_refusals_during_a_silence_do_not_end_the_answer(has_begun):
+    """It goes on elsewhere once the silent attempt breaks."""
+    begun = [('event', 1)] if has_begun else []
+    found = after(('sent', 1), *begun, ('silence', 1))
+    for _refusal in range(_attempts.MAX_REFUSALS):
+        number = found.open()
+        found.record_sent(number)
+        found.record_refusal(number, NOW)
+    found.record_failure(1)
+    assert found.decide(LATER).action is Action.OPEN
+
+
+@pytest.mark.parametrize('is_open', [False, True])
+def test_answer_that_can_not_go_on_ends_at_once(is_open):
+    """A lasting refusal ends it, unless an attempt is open."""
+    found = after(('sent', 1), ('event', 1), ('silence', 1))
+    if not is_open:
+        found.record_failure(1)
+    found.record_refusal(found.open(), NOW, is_lasting=True)
+    wanted = Action.WAIT if is_open else Action.END
+    assert found.decide(LATER).action is wanted
--- a/tests/traffic/test_stream.py
+++ b/tests/traffic/test_stream.py
@@ -91,7 +91,12 @@
 
 
 async def serve_relayed(
-    begins, is_idempotent=True, events=b'', relay=None, max_attempts=2
+    begins,
+    is_idempotent=True,
+    events=b'',
+    relay=None,
+    max_attempts=2,
+    sink=None,
 ):
     """Serves a stream through a relay, by default a silent one."""
     clock = clocks.MonotonicClock()
@@ -100,7 +105,9 @@
         relay=relay or SilentRelay(begins, events),
         upstreams=deployment.UpstreamRegistry(),
         outcomes=traffic.OutcomeRecorder(clock),
-        budget=types.SimpleNamespace(try_take=lambda service: True),
+        budget=types.SimpleNamespace(
+            try_take=lambda service: True, has_left=lambda service: True
+        ),
     )
     route = types.SimpleNamespace(
         latency_target_ms=10,
@@ -111,7 +118,7 @@
     )
     now = clock.now()
     req = traffic.Request('r', 'GET', '/x', 'h', [], b'', now, now + 5.0)
-    sink = RecordingSink()
+    sink = sink or RecordingSink()
     got = await _stream.StreamRunner(deps).serve(
         req, route, 's', '', 1, sink, None
     )
@@ -165,3 +172,27 @@
     got, sink = await serve_relayed(True, relay=relay, max_attempts=limit)
     assert got is None and sink.is_aborted
     assert sum(relay.max_runs) <= limit
+
+
+class EndingRelay(BreakingRelay):
+    """Relay that delivers a whole stream."""
+
+    async def serve(self, _req, _deadline, _runs, sink, resumed=None):
+        """Ends the answer."""
+        await sink.start(200, ())
+        await sink.write(b'id: 1\n\n')
+        await sink.finish()
+
+
+class SlowSink(RecordingSink):
+    """Sink whose last bytes wait for the client."""
+
+    async def finish(self):
+        """Does not return."""
+        await asyncio.Event().wait()
+
+
+async def test_whole_answer_is_not_aborted_while_its_end_is_sent():
+    """Its last bytes are on their way to the client at the deadline."""
+    got, sink = await serve_relayed(True, relay=EndingRelay(), sink=SlowSink())
+    assert got is None and not sink.is_aborted
