Do not take a late loop for a member of a copy that is gone

A node that was paused for longer than the limit on an engine's state (1 s) took each engine that it probed for unreachable, although the answers lay in its sockets or the requests had not been sent yet. All nodes then sent nothing to their copies, and the holder of the shard started to repair them.

The limit is a loops.timeout now, in which a pause uses up a slice at most. An observation still dates from when its request was sent, so that one that was read late counts as old, not as a loss.

--- a/plantainway/upstreams/_http_engine.py
+++ b/plantainway/upstreams/_http_engine.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from plantainway import errors
+from plantainway import loops
 from plantainway import sessions
 from plantainway.upstreams import _engine
 
@@ -36,6 +37,7 @@
     OSError,
     ValueError,
 )
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)  # it has one of its own
 _STATE_ADAPTER = pydantic.TypeAdapter(_engine.EngineState)
 _END_DATA = b'[DONE]'
 
@@ -57,11 +59,13 @@
 
     async def get_state(self) -> _engine.EngineState:
         """Reads the state; see the base class."""
-        timeout = aiohttp.ClientTimeout(total=STATE_TIMEOUT_S)
         try:
-            async with self._session.get(
-                f'{self._base}/state', timeout=timeout
-            ) as resp:
+            async with (
+                loops.timeout(STATE_TIMEOUT_S),
+                self._session.get(
+                    f'{self._base}/state', timeout=_NO_TIMEOUT
+                ) as resp,
+            ):
                 if resp.status != _HTTP_OK:
                     raise self._upstream_error(
                         f'status {resp.status}', 'state'
