Do not take a late loop for a store that gives no answer

A node that was paused for longer than the limit on a call (2 s, 1 s while it connected) reported reads as failed and commits as unknown, although the answers lay in its sockets. Callers with an idempotency key were refused, and the holder of a shard spent the rest of its lease on reading back.

All calls now share one loops.timeout, which limits connecting as well.

--- a/plantainway/stores/_http.py
+++ b/plantainway/stores/_http.py
@@ -1,18 +1,20 @@
 """HTTP clients of the platform's services."""
 
+import contextlib
 import json
 import urllib.parse
 
 import aiohttp
 
 from plantainway import errors
+from plantainway import loops
 from plantainway import sessions
 from plantainway.stores import _stores
 from plantainway.stores import _table
 
 CALL_TIMEOUT_S = 2.0
-CONNECT_TIMEOUT_S = 1.0
 ANSWER_BYTES_MAX = 32 << 20
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)  # calls have one of their own
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
@@ -29,15 +31,21 @@
     def __init__(self, base_url: str, session: aiohttp.ClientSession):
         self._base = base_url
         self._session = session
-        self._timeout = aiohttp.ClientTimeout(
-            total=CALL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
-        )
+
+    @contextlib.asynccontextmanager
+    async def _request(self, method: str, path: str, **options):
+        """Sends a request; its answer must be read within the time-out."""
+        async with (
+            loops.timeout(CALL_TIMEOUT_S),
+            self._session.request(
+                method, self._base + path, timeout=_NO_TIMEOUT, **options
+            ) as resp,
+        ):
+            yield resp
 
     async def _get_json(self, path: str, step: str, **params):
         try:
-            async with self._session.get(
-                self._base + path, params=params, timeout=self._timeout
-            ) as resp:
+            async with self._request('GET', path, params=params) as resp:
                 if resp.status == _HTTP_OK:
                     return await _read_json(resp)
                 if resp.status == _HTTP_NOT_FOUND:
@@ -81,9 +89,7 @@
         }
         outcome = _table.Outcome
         try:
-            async with self._session.post(
-                self._base + '/commit', json=body, timeout=self._timeout
-            ) as resp:
+            async with self._request('POST', '/commit', json=body) as resp:
                 if resp.status == _HTTP_OK:
                     reply = await _read_json(resp)
                     return _table.CommitResult(
@@ -125,11 +131,11 @@
         """Stores a blob; see the base class."""
         outcome = _stores.PutOutcome
         try:
-            async with self._session.put(
-                f'{self._base}/objects/{urllib.parse.quote(name)}',
+            async with self._request(
+                'PUT',
+                f'/objects/{urllib.parse.quote(name)}',
                 data=body,
                 headers={'If-None-Match': '*'},
-                timeout=self._timeout,
             ) as resp:
                 if resp.status == _HTTP_OK:
                     return outcome.STORED
@@ -147,9 +153,8 @@
         """Reads a blob; see the base class."""
         step = 'object_get'
         try:
-            async with self._session.get(
-                f'{self._base}/objects/{urllib.parse.quote(name)}',
-                timeout=self._timeout,
+            async with self._request(
+                'GET', f'/objects/{urllib.parse.quote(name)}'
             ) as resp:
                 if resp.status == _HTTP_OK:
                     return await sessions.read_body(resp, ANSWER_BYTES_MAX)
