--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -139,6 +139,30 @@
         "if seen.role != 'ready' or ('', seen.copy_id) == (",
         'tests/groups/test_planner.py',
     ),
+    Mutant(
+        'a lease counts from before the sending',
+        'plantainway/groups/_shard.py',
+        '            self.deadline = _lease.holder_deadline(sent_at)\n'
+        '            self._row',
+        '            sent_at = self._clock.now()\n'
+        '            self.deadline = _lease.holder_deadline(sent_at)\n'
+        '            self._row',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'a late loop does not take a member for lost',
+        'plantainway/upstreams/_http_engine.py',
+        'loops.timeout(STATE_TIMEOUT_S)',
+        'loops.asyncio.timeout(STATE_TIMEOUT_S)',
+        'tests/upstreams/test_late_loop.py',
+    ),
+    Mutant(
+        'a late loop does not take its store for unavailable',
+        'plantainway/stores/_http.py',
+        'loops.timeout(CALL_TIMEOUT_S)',
+        'loops.asyncio.timeout(CALL_TIMEOUT_S)',
+        'tests/stores/test_late_loop.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/tests/groups/test_lease.py
+++ b/tests/groups/test_lease.py
@@ -134,6 +134,62 @@
     )
 
 
+class _PausedTable(standins.MemoryTable):
+    """Table whose answers a node reads ``pause_s`` after it asked."""
+
+    def __init__(self, shard):
+        super().__init__()
+        self._clock = shard.clock
+        self.pause_s = 0.0
+
+    async def commit(self, txn):
+        """Commits, before the node is paused."""
+        result = await super().commit(txn)
+        self._clock.advance(self.pause_s)
+        return result
+
+
+@pytest.mark.parametrize('call', ['renew', 'acquire', 'apply'])
+@pytest.mark.parametrize(
+    'pause_s, is_held', [(0.0, True), (2.0, True), (6.0, False), (60.0, False)]
+)
+async def test_pause_during_a_commit_shortens_the_lease(
+    call, pause_s, is_held
+):
+    """Guards against a late holder whose lease counts from the answer."""
+    shard = Shard()
+    shard.table = _PausedTable(shard)
+    shard.one, shard.two = shard.store('n1'), shard.store('n2')
+    store = await shard.with_vms()
+    if call == 'acquire':
+        await store.release_lease()
+        await store.observe()
+    sent_at = shard.clock.now()
+    shard.table.pause_s = pause_s
+    await (store.apply(FORM) if call == 'apply' else getattr(store, call)())
+    assert store.deadline <= _lease.holder_deadline(sent_at)
+    assert store.is_held == is_held
+    if not is_held:
+        with pytest.raises(errors.LeaseLostError):
+            await store.renew()
+
+
+async def test_observer_paused_during_a_read_does_not_take_the_lease():
+    """Guards against a late observer that trusts a row read long ago."""
+    shard = Shard()
+    store = await shard.with_vms()
+    await shard.two.observe()
+    await shard.two.observe()  # this answer lies in the socket
+    for _renewal in range(4):
+        shard.clock.advance(2.0)
+        await store.renew()
+    assert shard.two.observer.is_expired(shard.clock.now())
+    with pytest.raises(errors.LeaseLostError):
+        await shard.two.acquire()
+    assert shard.two.lease is None
+    assert store.is_held
+
+
 async def test_former_holder_without_deadline_check():
     """A former holder can't commit even without its deadline check."""
     shard = Shard()
