Keep the slot of a request whose wait ends as it comes

A slot that was assigned in the round of the loop in which the wait for it ran out, or in which the caller left, was never given back: the copy's slot counted as used by this node until it restarted, and the account as having one more request in progress. A late loop meets this often, as it finds the end of another answer and its own time-out at once.

The time-out cancelled the future that had received the slot. Now the wait leaves the future alone: a slot that has come is used, and given back if the caller is gone.

Both rows of tests/requests/test_dispatch.py were red before.

--- a/plantainway/requests/_dispatch.py
+++ b/plantainway/requests/_dispatch.py
@@ -88,13 +88,20 @@
         left_s = min(waiter.deadline - self._clock.now(), QUEUE_TIMEOUT_S)
         try:
             async with asyncio.timeout(left_s):
-                return await waiter.slot
+                # Unlike awaiting the future, this leaves it its slot.
+                await asyncio.wait((waiter.slot,))
         except TimeoutError:
-            raise errors.NotRunError(
-                'no slot became free in time', 'queue', reason='overload'
-            )
+            if not waiter.slot.done():
+                raise errors.NotRunError(
+                    'no slot became free in time', 'queue', reason='overload'
+                )
+        except asyncio.CancelledError:
+            if waiter.slot.done() and waiter.slot.exception() is None:
+                self.release(waiter.slot.result())
+            raise
         finally:
             queue.remove(waiter)
+        return waiter.slot.result()
 
     def _try_acquire(self, req, excluded, digests, queue) -> Slot | None:
         """Returns a slot, or ``None`` if all copies are at their ceiling.
