Do not refuse a waiting request for the node's own pause

A request that waits for a slot for longer than 2 s is refused. A node that was paused for so long refused all that waited, although the ends of running answers, which free slots, lay in its sockets.

The wait is a loops.timeout now. As a pause no longer uses up the time until the request's deadline, a slot that comes after the deadline is given back and nothing is sent.

tests/requests/test_dispatch.py: the row whose slot is freed some rounds after the pause was red before, and so was that of the deadline.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -163,6 +163,27 @@
         'loops.asyncio.timeout(CALL_TIMEOUT_S)',
         'tests/stores/test_late_loop.py',
     ),
+    Mutant(
+        'a late loop does not refuse for its own pause',
+        'plantainway/requests/_dispatch.py',
+        'loops.timeout(left_s)',
+        'asyncio.timeout(left_s)',
+        'tests/requests/test_dispatch.py',
+    ),
+    Mutant(
+        'a slot that comes as the caller leaves is given back',
+        'plantainway/requests/_dispatch.py',
+        'self.release(waiter.slot.result())',
+        'pass',
+        'tests/requests/test_dispatch.py',
+    ),
+    Mutant(
+        'a slot that comes after the deadline is given back',
+        'plantainway/requests/_dispatch.py',
+        'if self._clock.now() >= waiter.deadline:',
+        'if False:',
+        'tests/requests/test_dispatch.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/plantainway/requests/_dispatch.py
+++ b/plantainway/requests/_dispatch.py
@@ -5,6 +5,7 @@
 import math
 
 from plantainway import errors
+from plantainway import loops
 from plantainway.requests import _queue
 
 QUEUE_TIMEOUT_S = 2.0  # twice the longest predicted wait that is accepted
@@ -87,7 +88,7 @@
     async def _wait(self, queue, waiter) -> Slot:
         left_s = min(waiter.deadline - self._clock.now(), QUEUE_TIMEOUT_S)
         try:
-            async with asyncio.timeout(left_s):
+            async with loops.timeout(left_s):
                 # Unlike awaiting the future, this leaves it its slot.
                 await asyncio.wait((waiter.slot,))
         except TimeoutError:
@@ -101,7 +102,15 @@
             raise
         finally:
             queue.remove(waiter)
-        return waiter.slot.result()
+        slot = waiter.slot.result()
+        if self._clock.now() >= waiter.deadline:
+            self.release(slot)
+            raise errors.NotRunError(
+                'the deadline passed in the queue',
+                'queue',
+                reason='deadline',
+            )
+        return slot
 
     def _try_acquire(self, req, excluded, digests, queue) -> Slot | None:
         """Returns a slot, or ``None`` if all copies are at their ceiling.
--- a/tests/requests/test_dispatch.py
+++ b/tests/requests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests of requests that wait for a slot of a copy."""
 
 import asyncio
+import socket
 import time
 import types
 
@@ -31,8 +32,8 @@
         self.running -= 1
 
     def own_slot_share(self, _model):
-        """Returns the number of slots."""
-        return 1.0
+        """Returns many slots, so that the predicted wait is short."""
+        return 100.0
 
     def find_candidates(self, _model, _excluded, _digests, _ceiling):
         """Returns the copy, if its slot is free."""
@@ -87,3 +88,51 @@
         dispatcher.release(found)
     assert view.running == 0
     assert dispatcher.dump()['m'] == {'waiting': 0, 'running': 0}
+
+
+@pytest.mark.parametrize(
+    'is_freed, rounds', [(True, 0), (True, 5), (False, 0)]
+)
+async def test_wait_of_a_late_loop(queued, is_freed, rounds):
+    """Guards against refusals for the node's own pause."""
+    dispatcher, slot, waiting = queued
+    answer_end, engine_end = socket.socketpair()
+    with answer_end, engine_end:
+        reader, writer = await asyncio.open_connection(sock=answer_end)
+
+        async def read_answer():
+            await reader.readexactly(1)
+            for _round in range(rounds):
+                await asyncio.sleep(0)
+            dispatcher.release(slot)
+
+        running = asyncio.ensure_future(read_answer())
+        await asyncio.sleep(0.01)
+        if is_freed:
+            engine_end.send(b'x')
+        time.sleep(PAUSE_S)
+        if is_freed:
+            assert isinstance(await waiting, _dispatch.Slot)
+        else:
+            with pytest.raises(errors.NotRunError):
+                await waiting
+        running.cancel()
+        writer.close()
+
+
+async def test_slot_that_comes_after_the_deadline_is_given_back(view, queued):
+    """Guards against a late node that sends what nobody waits for."""
+    dispatcher, slot, waiting = queued
+    waiting.cancel()
+    clock = clocks.MonotonicClock()
+    req = types.SimpleNamespace(
+        model='m', account='a', rank=1, deadline=clock.now() + TIMEOUT_S
+    )
+    last = asyncio.ensure_future(dispatcher.acquire(req, set(), ()))
+    await asyncio.sleep(0.01)
+    asyncio.get_running_loop().call_soon(dispatcher.release, slot)
+    time.sleep(PAUSE_S)
+    with pytest.raises(errors.NotRunError) as caught:
+        await last
+    assert caught.value.reason == 'deadline'
+    assert view.running == 0
