Use a new link to a peer before the old one has been closed

A node that heard again from a peer whose old link was silent (its VM was lost, or it had been paused) ended the old link first. A silent peer does not answer that, so for up to 10 s the node read nothing from the new link and sent no heartbeats on it: the peer counted as not live, and its reports, loans and revisions were missing, although it was there.

Now the new link is in use at once, and the old one is closed beside it.

Both rows of tests/peers/test_links.py (peer that has restarted; both nodes dialed) were red before.

--- a/plantainway/peers/_task.py
+++ b/plantainway/peers/_task.py
@@ -401,14 +401,16 @@
             # Both nodes dialed: keep the connection opened by the node whose
             # name sorts first, unless the peer has restarted since.
             has_restarted = hello.incarnation > existing.incarnation
-            if has_restarted or dialed == (
+            is_kept = not has_restarted and dialed != (
                 self._registration.node < hello.node
-            ):
-                await existing.conn.close()
-            else:
+            )
+            if is_kept:
                 return
         link = _Link(conn, hello)
         self._links[hello.node] = link
+        if existing is not None:
+            # Not awaited: a silent peer does not answer the close.
+            self._parts.spawn(existing.conn.close())
         writer_task = asyncio.create_task(link.write_messages())
         link.send(self._report)
         if dialed:
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,105 @@
+"""Tests of the links between nodes: silent peers and late event loops."""
+
+import asyncio
+import types
+
+import pytest
+from websockets.asyncio import client as ws_client
+
+from plantainway import bus
+from plantainway import clock as clocks
+from plantainway import peers
+from plantainway.peers import _registry
+from plantainway.peers import _task
+from plantainway import wire
+
+
+def make_task(node, seed_peers=()):
+    """Returns the peers task of a node, and the tasks that it spawned."""
+    clock = clocks.MonotonicClock()
+    spawned = []
+
+    async def read_registrations():
+        return {}
+
+    parts = types.SimpleNamespace(
+        book=peers.MembershipView(node, clock),
+        bus=bus.Bus(),
+        clock=clock,
+        registry=types.SimpleNamespace(read_registrations=read_registrations),
+        vm_observations=types.SimpleNamespace(oldest_own_at=lambda: None),
+        spawn=lambda coro: spawned.append(asyncio.ensure_future(coro)),
+    )
+    cfg = types.SimpleNamespace(
+        listen=types.SimpleNamespace(peer='127.0.0.1:0'),
+        seed_peers=seed_peers,
+    )
+    registration = _registry.Registration(
+        node, 1, 'r', 'p', 'f', '', '', '', False
+    )
+    return _task.PeersTask(cfg, registration, parts), spawned
+
+
+@pytest.fixture
+async def start():
+    """Starts the peers task of a node."""
+    running = []
+
+    async def start_task(*args):
+        task, spawned = make_task(*args)
+        await task.listen()
+        task.advertise('', f'127.0.0.1:{task.port}')
+        running.append((asyncio.ensure_future(task.run()), spawned))
+        return task
+
+    yield start_task
+    for task, spawned in running:
+        for one in (*spawned, task):
+            one.cancel()
+        await asyncio.gather(task, *spawned, return_exceptions=True)
+
+
+def hello(node, incarnation=1):
+    """Returns the first message of a node, encoded."""
+    return wire.encode(
+        wire.Hello(wire.PROTOCOL_VERSION, node, incarnation, 'f')
+    )
+
+
+async def connect(port, incarnation):
+    """Connects as the node n5; returns the connection after its hello."""
+    conn = await ws_client.connect(
+        f'ws://127.0.0.1:{port}', compression=None, proxy=None
+    )
+    await conn.send(hello('n5', incarnation))
+    return conn
+
+
+async def read_until(conn, kind):
+    """Reads messages until one of a kind has come."""
+    while not isinstance(wire.decode(await conn.recv(), 'x'), kind):
+        pass
+
+
+@pytest.mark.parametrize(
+    'node, incarnation',
+    [
+        ('n1', 2),  # the peer has restarted
+        ('n9', 1),  # both nodes dialed
+    ],
+)
+async def test_link_replaces_one_whose_peer_is_silent(
+    start, node, incarnation
+):
+    """Guards against a peer unheard until its old link has been closed."""
+    task = await start(node)
+    old = await connect(task.port, 1)
+    await read_until(old, wire.Heartbeats)
+    old.transport.pause_reading()  # nor answers to the end of the link
+    new = await connect(task.port, incarnation)
+    async with asyncio.timeout(5.0):
+        await read_until(new, wire.NodeReport)
+        await read_until(new, wire.Heartbeats)
+    assert task.dump()['links'] == ['n5']
+    old.transport.abort()
+    await new.close()
