Do not drop a peer for the node's own pause

A node that was paused for longer than the limit on a hello (2 s) dropped each peer that it was dialing, or that was greeting it, although the peer's answer lay in its socket; both then waited for 1 s before they dialed again.

Both limits are loops.timeout ones now. The library's own limit on dialing, which counts lost time too, is off; the project's covers it.

tests/peers/test_links.py: the 3 rows that block the loop for twice the limit beside a peer in a thread were red before; a peer without a hello is dropped as before.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -184,6 +184,29 @@
         'if False:',
         'tests/requests/test_dispatch.py',
     ),
+    Mutant(
+        'a new link does not wait for the end of the old one',
+        'plantainway/peers/_task.py',
+        'self._parts.spawn(existing.conn.close())',
+        'await existing.conn.close()',
+        'tests/peers/test_links.py',
+    ),
+    Mutant(
+        'a late loop waits for the hello of a peer',
+        'plantainway/peers/_task.py',
+        'async with loops.timeout(HELLO_TIMEOUT_S):\n'
+        '                peer_hello',
+        'async with asyncio.timeout(HELLO_TIMEOUT_S):\n'
+        '                peer_hello',
+        'tests/peers/test_links.py',
+    ),
+    Mutant(
+        'a late loop waits for a peer that it dials',
+        'plantainway/peers/_task.py',
+        'async with loops.timeout(HELLO_TIMEOUT_S):\n                conn',
+        'async with asyncio.timeout(HELLO_TIMEOUT_S):\n                conn',
+        'tests/peers/test_links.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/plantainway/peers/_task.py
+++ b/plantainway/peers/_task.py
@@ -11,6 +11,7 @@
 from plantainway import bus
 from plantainway import errors
 from plantainway import logs
+from plantainway import loops
 from plantainway.peers import _links
 from plantainway import wire
 
@@ -336,9 +337,10 @@
     async def _dial(self, name: str, address: str) -> None:
         self._dialing.add(name)
         try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
+            async with loops.timeout(HELLO_TIMEOUT_S):
                 conn = await ws_client.connect(
                     f'ws://{address}',
+                    open_timeout=None,
                     compression=None,
                     max_size=wire.MAX_MESSAGE_BYTES,
                     proxy=None,
@@ -369,7 +371,7 @@
         await conn.send(wire.encode(hello))
         peer = str(conn.remote_address)
         try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
+            async with loops.timeout(HELLO_TIMEOUT_S):
                 peer_hello = wire.decode(await conn.recv(), peer)
             if not isinstance(peer_hello, wire.Hello):
                 raise errors.WireError(
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -1,10 +1,14 @@
 """Tests of the links between nodes: silent peers and late event loops."""
 
 import asyncio
+import threading
+import time
 import types
 
 import pytest
 from websockets.asyncio import client as ws_client
+from websockets.sync import client as sync_client
+from websockets.sync import server as sync_server
 
 from plantainway import bus
 from plantainway import clock as clocks
@@ -13,6 +17,10 @@
 from plantainway.peers import _task
 from plantainway import wire
 
+HELLO_S = 0.05
+TIMEOUT_S = 0.3
+LATE_S = 0.6
+
 
 def make_task(node, seed_peers=()):
     """Returns the peers task of a node, and the tasks that it spawned."""
@@ -103,3 +111,77 @@
     assert task.dump()['links'] == ['n5']
     old.transport.abort()
     await new.close()
+
+
+@pytest.fixture
+def short_timeout(monkeypatch):
+    """Shortens the limit on a hello."""
+    monkeypatch.setattr(_task, 'HELLO_TIMEOUT_S', TIMEOUT_S)
+
+
+@pytest.mark.parametrize('pause_after_s', [0.0, 0.02])
+async def test_hello_of_a_dialed_peer_to_a_late_node(
+    start, short_timeout, pause_after_s
+):
+    """Guards against a late node that drops a peer that has answered."""
+    accepted = []
+
+    def answer(conn):
+        accepted.append(conn)
+        time.sleep(HELLO_S)
+        conn.send(hello('n5'))
+        for _message in conn:
+            pass
+
+    with sync_server.serve(answer, '127.0.0.1', 0, compression=None) as peer:
+        thread = threading.Thread(target=peer.serve_forever)
+        thread.start()
+        port = peer.socket.getsockname()[1]
+        task = await start('n1')
+        dial = asyncio.ensure_future(task._dial('n5', f'127.0.0.1:{port}'))
+        await asyncio.sleep(pause_after_s)
+        time.sleep(LATE_S)
+        await asyncio.sleep(TIMEOUT_S)
+        assert task.dump()['links'] == ['n5']
+        assert len(accepted) == 1
+        dial.cancel()
+        await asyncio.gather(dial, return_exceptions=True)
+        peer.shutdown()
+        thread.join()
+
+
+async def test_hello_of_a_peer_that_dialed_a_late_node(start, short_timeout):
+    """Guards against a late node that drops a peer that has greeted it."""
+    task = await start('n1')
+    received = []
+
+    def greet():
+        with sync_client.connect(
+            f'ws://127.0.0.1:{task.port}', compression=None, proxy=None
+        ) as conn:
+            received.append(conn.recv())  # the own hello has been sent
+            time.sleep(HELLO_S)
+            conn.send(hello('n5'))
+            received.append(conn.recv())
+
+    thread = threading.Thread(target=greet)
+    thread.start()
+    while not received:
+        await asyncio.sleep(0)
+    time.sleep(LATE_S)
+    async with asyncio.timeout(5.0):
+        while thread.is_alive():
+            await asyncio.sleep(0.01)
+    thread.join()
+    assert len(received) == 2
+
+
+async def test_peer_without_a_hello_is_dropped(start, short_timeout):
+    """The limit on a hello still holds."""
+    task = await start('n1')
+    conn = await ws_client.connect(
+        f'ws://127.0.0.1:{task.port}', compression=None, proxy=None
+    )
+    async with asyncio.timeout(5.0):
+        await conn.wait_closed()
+    assert task.dump()['links'] == []
