--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -139,6 +139,74 @@
         "if seen.role != 'ready' or ('', seen.copy_id) == (",
         'tests/groups/test_planner.py',
     ),
+    Mutant(
+        'a lease counts from before the sending',
+        'plantainway/groups/_shard.py',
+        '            self.deadline = _lease.holder_deadline(sent_at)\n'
+        '            self._row',
+        '            sent_at = self._clock.now()\n'
+        '            self.deadline = _lease.holder_deadline(sent_at)\n'
+        '            self._row',
+        'tests/groups/test_lease.py',
+    ),
+    Mutant(
+        'a late loop does not take a member for lost',
+        'plantainway/upstreams/_http_engine.py',
+        'loops.timeout(STATE_TIMEOUT_S)',
+        'loops.asyncio.timeout(STATE_TIMEOUT_S)',
+        'tests/upstreams/test_late_loop.py',
+    ),
+    Mutant(
+        'a late loop does not take its store for unavailable',
+        'plantainway/stores/_http.py',
+        'loops.timeout(CALL_TIMEOUT_S)',
+        'loops.asyncio.timeout(CALL_TIMEOUT_S)',
+        'tests/stores/test_late_loop.py',
+    ),
+    Mutant(
+        'a late loop does not refuse for its own pause',
+        'plantainway/requests/_dispatch.py',
+        'loops.timeout(left_s)',
+        'asyncio.timeout(left_s)',
+        'tests/requests/test_dispatch.py',
+    ),
+    Mutant(
+        'a slot that comes as the caller leaves is given back',
+        'plantainway/requests/_dispatch.py',
+        'self.release(waiter.slot.result())',
+        'pass',
+        'tests/requests/test_dispatch.py',
+    ),
+    Mutant(
+        'a slot that comes after the deadline is given back',
+        'plantainway/requests/_dispatch.py',
+        'if self._clock.now() >= waiter.deadline:',
+        'if False:',
+        'tests/requests/test_dispatch.py',
+    ),
+    Mutant(
+        'a new link does not wait for the end of the old one',
+        'plantainway/peers/_task.py',
+        'self._parts.spawn(existing.conn.close())',
+        'await existing.conn.close()',
+        'tests/peers/test_links.py',
+    ),
+    Mutant(
+        'a late loop waits for the hello of a peer',
+        'plantainway/peers/_task.py',
+        'async with loops.timeout(HELLO_TIMEOUT_S):\n'
+        '                peer_hello',
+        'async with asyncio.timeout(HELLO_TIMEOUT_S):\n'
+        '                peer_hello',
+        'tests/peers/test_links.py',
+    ),
+    Mutant(
+        'a late loop waits for a peer that it dials',
+        'plantainway/peers/_task.py',
+        'async with loops.timeout(HELLO_TIMEOUT_S):\n                conn',
+        'async with asyncio.timeout(HELLO_TIMEOUT_S):\n                conn',
+        'tests/peers/test_links.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/plantainway/peers/_task.py
+++ b/plantainway/peers/_task.py
@@ -11,6 +11,7 @@
 from plantainway import bus
 from plantainway import errors
 from plantainway import logs
+from plantainway import loops
 from plantainway.peers import _links
 from plantainway import wire
 
@@ -336,9 +337,10 @@
     async def _dial(self, name: str, address: str) -> None:
         self._dialing.add(name)
         try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
+            async with loops.timeout(HELLO_TIMEOUT_S):
                 conn = await ws_client.connect(
                     f'ws://{address}',
+                    open_timeout=None,
                     compression=None,
                     max_size=wire.MAX_MESSAGE_BYTES,
                     proxy=None,
@@ -369,7 +371,7 @@
         await conn.send(wire.encode(hello))
         peer = str(conn.remote_address)
         try:
-            async with asyncio.timeout(HELLO_TIMEOUT_S):
+            async with loops.timeout(HELLO_TIMEOUT_S):
                 peer_hello = wire.decode(await conn.recv(), peer)
             if not isinstance(peer_hello, wire.Hello):
                 raise errors.WireError(
@@ -401,14 +403,16 @@
             # Both nodes dialed: keep the connection opened by the node whose
             # name sorts first, unless the peer has restarted since.
             has_restarted = hello.incarnation > existing.incarnation
-            if has_restarted or dialed == (
+            is_kept = not has_restarted and dialed != (
                 self._registration.node < hello.node
-            ):
-                await existing.conn.close()
-            else:
+            )
+            if is_kept:
                 return
         link = _Link(conn, hello)
         self._links[hello.node] = link
+        if existing is not None:
+            # Not awaited: a silent peer does not answer the close.
+            self._parts.spawn(existing.conn.close())
         writer_task = asyncio.create_task(link.write_messages())
         link.send(self._report)
         if dialed:
