Let a late leader hear what its witnesses have answered

A leader that was paused for longer than it waits for answers (0.5 s) had no answer when the time was over, although it had not even sent the question. It then took its own evidence for the loss of the engine, and disbanded the group.

The time for answers is one of plantainway.loops now: a pause uses up one slice of it, and the loop listens before it ends.

tests/edge/test_late_node.py blocks the leader's loop for 1.3 s beside a node in a thread. Red before: the row [True-False-1], in which the question is unsent when the pause begins. The rows in which the answer lies in the socket were green before; an engine that no one reaches, or that no one answers about, is still lost.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1066,6 +1066,13 @@
         'self._expire(self._loop.time())',
         'tests/test_loops.py',
     ),
+    Mutant(
+        'a late leader hears its witnesses',
+        'plantainway/edge/_witness.py',
+        'async with loops.timeout(ANSWER_TIMEOUT_S):',
+        'async with asyncio.timeout(ANSWER_TIMEOUT_S):',
+        'tests/edge/test_late_node.py',
+    ),
     Mutant(
         'a silent stream waits while no other attempt may be opened',
         'plantainway/traffic/_attempts.py',
--- a/plantainway/edge/_witness.py
+++ b/plantainway/edge/_witness.py
@@ -8,6 +8,7 @@
 import itertools
 
 from plantainway import logs
+from plantainway import loops
 from plantainway import supply
 
 WITNESSES_MAX = 5  # nodes that are asked about one engine
@@ -70,7 +71,7 @@
         for listener in self.on_asked:
             listener()
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            async with loops.timeout(ANSWER_TIMEOUT_S):
                 await question.is_answered.wait()
         except TimeoutError:
             if not question.answers:
