Keep a late node linked to the leader it has

A follower that was paused for longer than it waits for updates (1 s) took its leader for lost while the updates lay in its socket. It ended the link and became a candidate; its requests to limited upstreams went by its own shares. In an outage of the store the leader lost a follower that way, and with a few of them its extension of the lease. A node that was paused while it linked took the leader for unreachable.

Both limits of the link are those of plantainway.loops now.

tests/cluster/test_late_links.py blocks the node's loop for 1.3 s and 3 s beside a leader in a thread: 6 of 7 rows were red before. The seventh, green before and after, shows that a leader that sends nothing is still left.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1073,6 +1073,22 @@
         'async with asyncio.timeout(ANSWER_TIMEOUT_S):',
         'tests/edge/test_late_node.py',
     ),
+    Mutant(
+        'a late node links to a leader that accepts',
+        'plantainway/cluster/_hub.py',
+        'async with loops.timeout(LINK_TIMEOUT_S):\n                conn =',
+        'async with asyncio.timeout(LINK_TIMEOUT_S):\n                conn =',
+        'tests/cluster/test_late_links.py',
+    ),
+    Mutant(
+        'a late node reads updates before it leaves its leader',
+        'plantainway/cluster/_hub.py',
+        'async with loops.timeout(LINK_TIMEOUT_S):\n'
+        '                    data =',
+        'async with asyncio.timeout(LINK_TIMEOUT_S):\n'
+        '                    data =',
+        'tests/cluster/test_late_links.py',
+    ),
     Mutant(
         'a silent stream waits while no other attempt may be opened',
         'plantainway/traffic/_attempts.py',
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -13,6 +13,7 @@
 from plantainway.cluster import _messages
 from plantainway import errors
 from plantainway import logs
+from plantainway import loops
 from plantainway import ratelimits
 from plantainway import stores
 
@@ -538,7 +539,7 @@
             address: ``IP:PORT`` of the leader's hub.
         """
         try:
-            async with asyncio.timeout(LINK_TIMEOUT_S):
+            async with loops.timeout(LINK_TIMEOUT_S):
                 conn = await ws_client.connect(
                     f'ws://{address}',
                     compression=None,
@@ -559,7 +560,7 @@
         sender = asyncio.ensure_future(self._send_heartbeats(conn))
         try:
             while True:
-                async with asyncio.timeout(LINK_TIMEOUT_S):
+                async with loops.timeout(LINK_TIMEOUT_S):
                     data = await conn.recv()
                 ack, message = _messages.decode_from_leader(data, address)
                 self._message_number = max(
--- /dev/null
+++ b/tests/cluster/test_late_links.py
@@ -0,0 +1,68 @@
+"""Tests of links between a leader and a node whose event loop runs late."""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.cluster import late_peers
+from tests.platform import conftest
+
+LATE_S = 1.3  # longer than any limit on what a leader sends
+
+
+@pytest.fixture
+def peers():
+    """A thread for the peers of a late node."""
+    found = late_peers.PeerThread()
+    found.start()
+    yield found
+    found.stop()
+
+
+@pytest.fixture
+def leader(peers):
+    """Hub of a leader that is on time."""
+    hub = late_peers.new_hub()
+    hub.address = peers.run(hub.listen('127.0.0.1:0'))
+    yield hub
+    peers.run(hub.close())
+
+
+@pytest.fixture
+async def follower(leader):
+    """Link of a node that may run late."""
+    link = late_peers.new_link(lambda: late_peers.new_beat('n1'))
+    link.task = asyncio.ensure_future(link.run_link(leader.address))
+    yield link
+    link.task.cancel()
+    await asyncio.gather(link.task, return_exceptions=True)
+
+
+@pytest.mark.parametrize('pauses_s', [(LATE_S,), (LATE_S, LATE_S), (3.0,)])
+async def test_late_follower_keeps_the_leader_it_has(follower, pauses_s):
+    """Guards against an election because of the node's own pause."""
+    await conftest.until(lambda: follower.is_receiving, 'update')
+    for pause_s in pauses_s:
+        time.sleep(pause_s)
+        await asyncio.sleep(0.1)
+        assert not follower.task.done()
+        assert follower.is_receiving
+
+
+@pytest.mark.parametrize('rounds', [1, 3, 6])
+async def test_late_node_links_to_a_leader_that_accepts(follower, rounds):
+    """Guards against a leader that is taken for unreachable."""
+    for _round in range(rounds):
+        await asyncio.sleep(0)
+    time.sleep(LATE_S)
+    await conftest.until(lambda: follower.is_receiving, 'update')
+    assert not follower.task.done()
+
+
+async def test_follower_leaves_a_leader_that_sends_nothing(peers, follower):
+    """The limit on updates still holds, also for a node that was late."""
+    await conftest.until(lambda: follower.is_receiving, 'update')
+    peers.loop.call_soon_threadsafe(time.sleep, 3 * LATE_S)
+    time.sleep(LATE_S)
+    await conftest.until(lambda: not follower.is_receiving, 'link ended')
