Use a permit that arrived while the node ran late

A node that was paused for longer than it waits for a permit (0.3 s) refused the request, although the leader had issued the permit and the reply lay in the socket, or the node had not asked yet. The permit was wasted, too.

The wait is limited by plantainway.loops now. A request may be sent later than the leader planned for; that was so before for permits that a pause met while the request waited for its turn.

tests/cluster/test_late_links.py, rows of test_late_node_gets_the_permit: 3 of 3 were red before.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1089,6 +1089,13 @@
         '                    data =',
         'tests/cluster/test_late_links.py',
     ),
+    Mutant(
+        'a late node reads the permit it was given',
+        'plantainway/cluster/_hub.py',
+        'async with loops.timeout(PERMIT_TIMEOUT_S):',
+        'async with asyncio.timeout(PERMIT_TIMEOUT_S):',
+        'tests/cluster/test_late_links.py',
+    ),
     Mutant(
         'a silent stream waits while no other attempt may be opened',
         'plantainway/traffic/_attempts.py',
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -606,7 +606,7 @@
         fut = asyncio.get_running_loop().create_future()
         self._permit_replies[number] = fut
         try:
-            async with asyncio.timeout(PERMIT_TIMEOUT_S):
+            async with loops.timeout(PERMIT_TIMEOUT_S):
                 await conn.send(
                     _messages.encode(
                         _messages.PermitRequest(
--- a/tests/cluster/test_late_links.py
+++ b/tests/cluster/test_late_links.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from plantainway import ratelimits
 from tests.cluster import late_peers
 from tests.platform import conftest
 
@@ -24,6 +25,7 @@
 def leader(peers):
     """Hub of a leader that is on time."""
     hub = late_peers.new_hub()
+    hub.issue_permit = lambda *_args: ratelimits.Permit('e1', 0.0)
     hub.address = peers.run(hub.listen('127.0.0.1:0'))
     yield hub
     peers.run(hub.close())
@@ -66,3 +68,14 @@
     peers.loop.call_soon_threadsafe(time.sleep, 3 * LATE_S)
     time.sleep(LATE_S)
     await conftest.until(lambda: not follower.is_receiving, 'link ended')
+
+
+@pytest.mark.parametrize('rounds', [1, 3, 6])
+async def test_late_node_gets_the_permit_it_was_given(follower, rounds):
+    """Guards against requests that are refused although they may be sent."""
+    await conftest.until(lambda: follower.is_receiving, 'update')
+    task = asyncio.ensure_future(follower.request_permit(['e1'], 1.0))
+    for _round in range(rounds):
+        await asyncio.sleep(0)
+    time.sleep(0.7)
+    assert (await task).upstream == 'e1'
