--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1134,6 +1134,50 @@
         'self._expire(self._loop.time())',
         'tests/test_loops.py',
     ),
+    Mutant(
+        'a late leader hears its witnesses',
+        'plantainway/edge/_witness.py',
+        'async with loops.timeout(ANSWER_TIMEOUT_S):',
+        'async with asyncio.timeout(ANSWER_TIMEOUT_S):',
+        'tests/edge/test_late_node.py',
+    ),
+    Mutant(
+        'a late node links to a leader that accepts',
+        'plantainway/cluster/_hub.py',
+        'async with loops.timeout(LINK_TIMEOUT_S):\n                conn =',
+        'async with asyncio.timeout(LINK_TIMEOUT_S):\n                conn =',
+        'tests/cluster/test_late_links.py',
+    ),
+    Mutant(
+        'a late node reads updates before it leaves its leader',
+        'plantainway/cluster/_hub.py',
+        'async with loops.timeout(LINK_TIMEOUT_S):\n'
+        '                    data =',
+        'async with asyncio.timeout(LINK_TIMEOUT_S):\n'
+        '                    data =',
+        'tests/cluster/test_late_links.py',
+    ),
+    Mutant(
+        'a late node reads the permit it was given',
+        'plantainway/cluster/_hub.py',
+        'async with loops.timeout(PERMIT_TIMEOUT_S):',
+        'async with asyncio.timeout(PERMIT_TIMEOUT_S):',
+        'tests/cluster/test_late_links.py',
+    ),
+    Mutant(
+        'a late node reads what the store has answered',
+        'plantainway/platform/_store.py',
+        'timer.arm(CALL_TIMEOUT_S + wait_s)',
+        'scope.reschedule(loop.time() + CALL_TIMEOUT_S + wait_s)',
+        'tests/platform/test_late_store_calls.py',
+    ),
+    Mutant(
+        'a late node reads the rest of a body',
+        'plantainway/platform/_store.py',
+        'async with loops.timeout(BODY_TIMEOUT_S):',
+        'async with asyncio.timeout(BODY_TIMEOUT_S):',
+        'tests/platform/test_late_store_calls.py',
+    ),
     Mutant(
         'a silent stream waits while no other attempt may be opened',
         'plantainway/traffic/_attempts.py',
