--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -473,8 +473,8 @@
     Mutant(
         'a read of the store goes on while its answer arrives',
         'plantainway/platform/_store.py',
-        'timeout.reschedule(min(loop.time() + CALL_TIMEOUT_S, latest))',
-        'pass',
+        '                timer.arm(CALL_TIMEOUT_S)\n        return',
+        '                pass\n        return',
         'tests/platform/test_store.py',
     ),
     Mutant(
@@ -830,11 +830,8 @@
     Mutant(
         'a relayed stream may have run',
         'plantainway/traffic/_stream_attempt.py',
-        '        state.attempts.record_sent(self._number)\n'
-        '        sink = _RelayedSink(self)\n',
-        '        state.attempts.record_sent(self._number)\n'
-        '        state.attempts.runs -= 1\n'
-        '        sink = _RelayedSink(self)\n',
+        'state.attempts.record_sent(self._number, max_runs)',
+        'state.attempts.record_sent(self._number, 0)',
         'tests/traffic/test_stream.py',
     ),
     Mutant(
@@ -954,7 +951,7 @@
     Mutant(
         'a stream counts as a run from when it is sent',
         'plantainway/traffic/_attempts.py',
-        '        self.runs += 1\n',
+        '        self.runs += max_runs\n',
         '',
         'tests/platform/test_node_requests.py',
     ),
@@ -1207,6 +1204,34 @@
         'state.excluded_heads',
         'tests/platform/test_silent_streams.py',
     ),
+    Mutant(
+        'refused sends beside a silent attempt are limited',
+        'plantainway/traffic/_attempts.py',
+        'if self._phases and self.refusals >= MAX_REFUSALS:',
+        'if False:',
+        'tests/traffic/test_attempts.py',
+    ),
+    Mutant(
+        'prompts ahead are no silence of a head',
+        'plantainway/traffic/_stream_attempt.py',
+        '        if queue_wait_s > 0:',
+        '        if False:',
+        'tests/platform/test_silent_streams.py',
+    ),
+    Mutant(
+        'lost links excuse only runs at heads of this node',
+        'plantainway/traffic/_stream.py',
+        'return len(state.run_heads)',
+        'return 1000',
+        'tests/traffic/test_stream.py',
+    ),
+    Mutant(
+        'an answer whose end is being sent is not aborted',
+        'plantainway/traffic/_stream.py',
+        '        if state.sink.is_finished:',
+        '        if False:',
+        'tests/traffic/test_stream.py',
+    ),
 )
 
 
