Do not refuse a waiting stream for the node's own pause

A stream that waited for capacity while its node was paused got 503 although capacity had been given to it when the node went on: the wait's time-out cancelled it in the same round. The wait now counts only time in which the loop ran, and so does the reading of a refusal's body. The new row in tests/traffic/test_heads.py was red before.

--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -5,6 +5,7 @@
 
 from plantainway import deployment
 from plantainway import errors
+from plantainway import loops
 from plantainway.traffic import _queue
 from plantainway.traffic import _types
 
@@ -369,7 +370,7 @@
         fut = entry.reservation
         reservation = None
         try:
-            async with asyncio.timeout(max(remaining_s, 0.0)):
+            async with loops.timeout(max(remaining_s, 0.0)):
                 reservation = await fut
             return reservation
         except TimeoutError:
--- a/plantainway/traffic/_types.py
+++ b/plantainway/traffic/_types.py
@@ -1,13 +1,13 @@
 """Requests, responses, and interfaces to clients and upstreams."""
 
 import abc
-import asyncio
 import dataclasses
 import hashlib
 
 from plantainway import deployment
 from plantainway import errors
 from plantainway import logs
+from plantainway import loops
 from plantainway import quarantine
 
 # Reason of refusals by upstreams that limit their rate.
@@ -162,7 +162,7 @@
         does not end makes no difference.
         """
         try:
-            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+            async with loops.timeout(DISCARD_TIMEOUT_S):
                 await self.read()
         except (TimeoutError, errors.UpstreamError) as exc:
             logs.event('refusal_body_unread', reason=repr(exc)[:100])
--- a/tests/traffic/test_heads.py
+++ b/tests/traffic/test_heads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -237,3 +238,25 @@
         harness.health.record_failure('h1', eject_now=True)
     heads = [(await harness.reserve()).head.name for _request in range(3)]
     assert heads == ['h0', 'h1', 'h1']
+
+
+async def test_wait_of_a_late_loop_ends_with_the_capacity_it_got(monkeypatch):
+    """Guards against a refusal for the node's own pause."""
+    monkeypatch.setattr(_queue, 'MAX_WAIT_S', 0.3)
+    harness = PoolHarness(_head('h0', slots=1))
+    held = [await harness.reserve() for _n in range(4)]
+    waiting = asyncio.ensure_future(harness.reserve())
+    await asyncio.sleep(0.01)
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.05, harness.pool.release, held[0], True)
+    time.sleep(0.6)
+    assert (await waiting).head.name == 'h0'
+
+
+async def test_wait_for_capacity_ends():
+    """The limit on the wait still holds."""
+    harness = PoolHarness(_head('h0', slots=1))
+    for _n in range(4):
+        await harness.reserve()
+    with pytest.raises(errors.NotRunError):
+        await harness.reserve()
