--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -90,6 +90,7 @@
     stays idle (``silent``) or gets one byte of an event every ``DRIP_S``
     (``drip``). Events come every ``event_s``; ``silence_s`` is how long a
     stream stays silent after ``silent_after`` events, before it goes on.
+    A complete plain answer comes after ``answer_s``.
     ``broken`` goes before all of these.
     The runner crashes when it is about to send the first event of a request
     whose prompt has ``crash_part``, or any answer to one whose body is
@@ -110,6 +111,7 @@
     stream_end: str = 'whole'
     silence_s: float = 0.0
     silent_after: int = 1
+    answer_s: float = 0.0
 
 
 class RunnerStandIn:
@@ -400,6 +402,8 @@
         elif self.model:
             await self._stream(reader, writer, seen, headers)
         elif answer_mode in ('whole', 'refusal_again'):
+            if self.faults.answer_s:
+                await asyncio.sleep(self.faults.answer_s)
             _send(writer, 200, headers, self.body)
         elif answer_mode == 'truncated':
             headers.append(('Content-Length', str(len(self.body) + 10)))
