Keep a silent attempt of a plain request until another one answers

Callers got 502 for safe requests, or 500, although the first runner would have answered in time; and 504 or a second run from a node that was paused.

Cause: an attempt was ended after 1.75 targets of its route, before another runner had taken the request. If that one refused, failed or could not be asked (no candidate, permit or retry left, quarantine), nothing was left. The limits were timers of the event loop, which are due after a pause of the node while the answers lie in its sockets.

Requests now have attempts as streams do (AnswerAttempts): a silent one stays open beside the next; the first complete answer below 500 wins, and a 5xx is passed on only when nothing is open. Until the deadline, refused runners are asked again beside a silent one, as far as MAX_SENDS allows. A retry is taken from the budget once there is an upstream, and permit, for it. Silence and deadline are counted by plantainway.loops. A relayed attempt that may have run is the last one.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -242,14 +242,14 @@
     Mutant(
         'unsafe requests run once',
         'plantainway/traffic/_plain.py',
-        'route.is_idempotent and runs < run_limit',
-        'runs < run_limit',
+        'route.is_idempotent, req.run_limit(route)',
+        'True, req.run_limit(route)',
         'tests/platform/test_node_requests.py',
     ),
     Mutant(
         'only requests that were not executed are refused',
         'plantainway/traffic/_plain.py',
-        'if runs == 0:',
+        'if state.attempts.runs == 0:',
         'if True:',
         'tests/platform/test_node_requests.py',
     ),
@@ -573,7 +573,7 @@
     Mutant(
         'requests of a node without links are relayed',
         'plantainway/traffic/_plain.py',
-        'if may_run and deps.relay.is_needed(req, unreached):',
+        'if deps.relay.is_needed(state.req, state.unreached):',
         'if False:',
         'tests/platform/test_cut_links.py',
     ),
@@ -731,7 +731,7 @@
     Mutant(
         'a plain request is sent to an upstream again on a new connection',
         'plantainway/traffic/_plain.py',
-        'or upstream.name in sent_names',
+        'or name in state.sent_names',
         'or False',
         'tests/platform/test_node_requests.py',
     ),
@@ -879,8 +879,8 @@
     Mutant(
         'a refusal whose body does not end stays a refusal',
         'plantainway/traffic/_plain.py',
-        'if upstream_response.not_run:\n                    await',
-        'if False:\n                    await',
+        'if response.not_run:\n                self',
+        'if False:\n                self',
         'tests/platform/test_node_requests.py',
     ),
     Mutant(
@@ -1081,6 +1081,41 @@
         '            pass\n',
         'tests/platform/test_silent_streams.py',
     ),
+    Mutant(
+        'a silent plain request is tried at another runner',
+        'plantainway/traffic/_plain.py',
+        '            self._timer.arm(',
+        '            tuple, (',
+        'tests/platform/test_silent_plain.py',
+    ),
+    Mutant(
+        'plain requests do not expire while their node does not run',
+        'plantainway/traffic/_plain.py',
+        'async with loops.timeout(',
+        'async with asyncio.timeout(',
+        'tests/platform/test_silent_plain.py',
+    ),
+    Mutant(
+        'a plain attempt that is not sent takes no retry',
+        'plantainway/traffic/_plain.py',
+        'if self._upstream and self._may_send(state.attempts.sends > 0):',
+        'if self._may_send(state.attempts.sends > 0) and self._upstream:',
+        'tests/platform/test_silent_plain.py',
+    ),
+    Mutant(
+        'no plain attempt outlasts its request',
+        'plantainway/traffic/_plain.py',
+        '            await _cancel_all(state.tasks.values())\n',
+        '            pass\n',
+        'tests/platform/test_silent_plain.py',
+    ),
+    Mutant(
+        'a runner that was full is asked again beside a silent one',
+        'plantainway/traffic/_plain.py',
+        '        state.tried_names = set(state.run_names)\n',
+        '',
+        'tests/platform/test_silent_plain.py',
+    ),
     Mutant(
         'a refused attempt is made again after a pause',
         'plantainway/traffic/_attempts.py',
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -1,14 +1,19 @@
 """Requests to plain services, which send complete responses.
 
-Unsafe requests run at most once.
+Unsafe requests run at most once. A silent attempt of a safe request stays
+open while another one is tried; the first complete answer ends both.
 """
 
 import asyncio
 import collections
+import contextlib
+import dataclasses
+import math
 import random
 
-from plantainway import deployment
 from plantainway import errors
+from plantainway import loops
+from plantainway.traffic import _attempts
 from plantainway.traffic import _queue
 from plantainway.traffic import _types
 
@@ -17,7 +22,50 @@
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
 PERMIT_WAIT_TARGETS = 0.5  # of the route; the rest is for the run
-ATTEMPT_TIMEOUT_TARGETS = 1.75  # of the route; then a safe request is retried
+SILENCE_TARGETS = 1.75  # of the route; then another attempt is opened
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _PlainState:
+    """State of one request over all its attempts.
+
+    ``open_attempts`` holds the attempts by number, ``tasks`` what runs them;
+    ``changed`` is set after each event of one. ``tried_names`` are upstreams
+    that had the request, ``run_names`` those of them that did not refuse it,
+    ``sent_names`` all that ever had it. ``tries`` counts the attempts for
+    which there was an upstream, ``unreached`` those for which no connection
+    could be opened. ``answer`` is the response to pass on,
+    ``error_response`` that of an attempt that failed, ``refusal`` the answer
+    if none ran. Times are monotonic seconds.
+    """
+
+    req: _types.Request
+    route: object
+    service: str
+    account: str
+    deadline: float
+    attempts: _attempts.AnswerAttempts
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    tasks: dict[int, asyncio.Task] = dataclasses.field(default_factory=dict)
+    open_attempts: dict = dataclasses.field(default_factory=dict)
+    tried_names: set[str] = dataclasses.field(default_factory=set)
+    run_names: set[str] = dataclasses.field(default_factory=set)
+    sent_names: set[str] = dataclasses.field(default_factory=set)
+    tries: int = 0
+    unreached: int = 0
+    answer: _types.Response | None = None
+    error_response: _types.Response | None = None
+    refusal: _types.Response | None = None
+    reason: str = 'outcome unknown, request may have run'
+
+    @property
+    def wait_until(self) -> float:
+        """Until when the request can wait for a permit."""
+        target_s = self.route.latency_target_ms / 1000
+        return min(
+            self.req.arrived_at + target_s * PERMIT_WAIT_TARGETS,
+            self.deadline,
+        )
 
 
 class PlainRunner:
@@ -31,10 +79,414 @@
     def __init__(self, deps, rng: random.Random):
         self._deps = deps
         self._rng = rng
+        self._choice = _UpstreamChoice(deps)
+
+    async def serve(self, req, route, service: str, account: str):
+        """Serves one request, with retries as far as they are allowed.
+
+        Retries are limited by the route, the retry budget and ``MAX_SENDS``.
+        They end at the client's deadline or the time-out of the route,
+        whichever is earlier.
+
+        Args:
+            req: The request.
+            route: Its route.
+            service: Name of the service.
+            account: Name of the client account, or empty.
+
+        Returns:
+            The response of an upstream, or an error of this node.
+        """
+        state = _PlainState(
+            req,
+            route,
+            service,
+            account,
+            deadline=min(
+                req.deadline, req.arrived_at + route.timeout_ms / 1000
+            ),
+            attempts=_attempts.AnswerAttempts(
+                route.is_idempotent, req.run_limit(route)
+            ),
+        )
+        try:
+            async with loops.timeout(
+                max(state.deadline - self._deps.clock.now(), 0.0)
+            ):
+                await self._run_attempts(state)
+        except TimeoutError:
+            for number in state.attempts.open_numbers:
+                state.open_attempts[number].blame_silence()
+        return state.answer or self._unserved(state)
+
+    def _unserved(self, state) -> _types.Response:
+        """Returns the answer to a request that no attempt has served."""
+        if state.error_response is not None:
+            return state.error_response
+        if state.attempts.runs == 0:
+            return state.refusal or _types.Response(
+                503,
+                retry_after_s=self._refused_retry_after_s(state),
+                reason='no upstream accepted the request',
+            )
+        if self._deps.clock.now() >= state.deadline:
+            return _types.Response(GATEWAY_TIMEOUT, reason='deadline passed')
+        return _types.Response(BAD_GATEWAY, reason=state.reason)
+
+    def _refused_retry_after_s(self, state) -> float:
+        """Returns when a client should try again: when an upstream is back."""
+        deps = self._deps
+        pause_s = min(
+            (
+                deps.pauses.remaining_s(item.name)
+                for item in deps.upstreams.find_by_service(state.service)
+                if not item.draining
+            ),
+            default=0.0,
+        )
+        if not pause_s:
+            return REFUSED_RETRY_AFTER_S
+        return _queue.retry_after_s(
+            pause_s + self._rng.uniform(0.0, REFUSED_RETRY_AFTER_S),
+            state.req.deadline - deps.clock.now(),
+        )
+
+    async def _run_attempts(self, state) -> None:
+        """Opens attempts until one is answered or no more is possible."""
+        try:
+            while True:
+                state.changed.clear()
+                _collect_ended(state)
+                decision = state.attempts.decide(
+                    self._deps.clock.now(), self._uncounted_runs(state)
+                )
+                if decision.action is _attempts.Action.END:
+                    return
+                if decision.action is _attempts.Action.OPEN:
+                    self._open_attempt(state)
+                else:
+                    await self._wait_for_change(state, decision.at)
+        finally:
+            await _cancel_all(state.tasks.values())
+
+    def _uncounted_runs(self, state) -> float:
+        """Returns how many runs do not count against the route's limit.
+
+        All, if the upstreams are cut off from this node, as their answers
+        can't arrive.
+        """
+        is_cut_off = self._deps.relay.is_needed(state.req, state.unreached)
+        return math.inf if is_cut_off else 0
+
+    async def _wait_for_change(self, state, until: float) -> None:
+        timeout_s = None
+        if until != math.inf:
+            timeout_s = max(until - self._deps.clock.now(), 0.0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await state.changed.wait()
+
+    def _open_attempt(self, state) -> None:
+        """Opens one more attempt; those that are open stay so."""
+        number = state.attempts.open()
+        attempt = _PlainAttempt(self._deps, state, self._choice, number)
+        state.open_attempts[number] = attempt
+        task = asyncio.ensure_future(attempt.run())
+        state.tasks[number] = task
+        task.add_done_callback(lambda _task: state.changed.set())
+
+
+class _PlainAttempt:
+    """Sends a request once and reads the answer.
+
+    Args:
+        deps: Components that the request runners share.
+        state: State of the request.
+        choice: Chooses the upstream.
+        number: Number of the attempt.
+    """
+
+    def __init__(self, deps, state, choice, number: int):
+        self._deps = deps
+        self._state = state
+        self._choice = choice
+        self._number = number
+        self._upstream = None
+        self._is_blamed = False
+        self._timer = loops.ListeningTimer(self._handle_silence)
+
+    async def run(self) -> None:
+        """Runs the attempt, here or through another node."""
+        deps, state = self._deps, self._state
+        if deps.relay.is_needed(state.req, state.unreached):
+            # A retry if it has arrived at an upstream.
+            is_retry = state.attempts.sends > state.unreached
+            if self._may_try() and self._may_send(is_retry):
+                await self._relay()
+                return
+        else:
+            self._upstream = await self._choose()
+            if self._upstream and self._may_send(state.attempts.sends > 0):
+                await self._send()
+                return
+        state.attempts.record_refusal(
+            self._number, deps.clock.now(), is_final=True
+        )
+
+    # Before it is sent.
+
+    def _may_try(self) -> bool:
+        """Returns whether one more attempt is made; counts it."""
+        state = self._state
+        if state.tries >= MAX_SENDS:
+            return False
+        state.tries += 1
+        return self._deps.clock.now() < state.deadline
+
+    def _may_send(self, is_retry: bool) -> bool:
+        """Returns whether the retry budget allows the attempt."""
+        state = self._state
+        if not is_retry or self._deps.budget.try_take(state.service):
+            return True
+        self._deps.outcomes.log_decision(
+            state.req, 'retry_denied', service=state.service
+        )
+        return False
+
+    async def _choose(self):
+        """Returns the upstream to send to, ``None`` if there is none."""
+        deps, state = self._deps, self._state
+        candidates = self._find_candidates()
+        if not candidates or not self._may_try():
+            return None
+        if deps.quarantine.find(state.req.crash_keys) is not None:
+            return None
+        try:
+            return await self._choice.choose(
+                state.service, candidates, state.tried_names, state.wait_until
+            )
+        except errors.NotRunError as exc:
+            remaining_s = state.req.deadline - deps.clock.now()
+            state.refusal = _types.Response(
+                503,
+                retry_after_s=_queue.retry_after_s(
+                    exc.retry_after_s, remaining_s
+                ),
+                reason=exc.message,
+            )
+            return None
+
+    def _find_candidates(self) -> list:
+        """Returns upstreams to choose from.
+
+        If all were tried, those that have refused the request may have room
+        by now, unless it has run and nothing runs for it any more.
+        """
+        state = self._state
+        candidates = self._choice.find(state.service, state.tried_names)
+        if candidates:
+            return candidates
+        if state.attempts.runs and len(state.attempts.open_numbers) == 1:
+            return []
+        state.tried_names = set(state.run_names)
+        return self._choice.find(state.service, state.tried_names)
+
+    # At an upstream.
+
+    async def _send(self) -> None:
+        """Sends the request and handles the answer."""
+        deps, upstream = self._deps, self._upstream
+        attempt = self._record_sent()
+        deps.loads.increment(upstream.name)
+        response = None
+        try:
+            response = await deps.send(attempt)
+            if response.not_run:
+                self._handle_refusal(response)
+                await response.discard()
+            else:
+                self._handle_answer(response, await response.read())
+        except errors.UpstreamError as exc:
+            self._handle_break(exc)
+        finally:
+            self._timer.disarm()
+            deps.loads.decrement(upstream.name)
+            if response is not None:
+                response.close()
+
+    def _record_sent(self) -> _types.Attempt:
+        """Records that the request is sent; returns what to send."""
+        state, route = self._state, self._state.route
+        name = self._upstream.name
+        attempt = _types.Attempt(
+            state.req,
+            self._upstream,
+            state.account,
+            state.deadline,
+            priority=route.priority,
+            use_new_connection=(
+                not route.is_idempotent or name in state.sent_names
+            ),
+            is_repeated=state.attempts.sends > 0,
+        )
+        self._log_added()
+        state.attempts.record_sent(self._number)
+        for names in (state.tried_names, state.run_names, state.sent_names):
+            names.add(name)
+        if route.is_idempotent:
+            self._timer.arm(route.latency_target_ms * SILENCE_TARGETS / 1000)
+        return attempt
+
+    def _log_added(self) -> None:
+        state = self._state
+        silent = [
+            str(item)
+            for item in state.attempts.open_numbers
+            if item != self._number
+        ]
+        if silent:
+            self._deps.outcomes.log_decision(
+                state.req,
+                'attempt_added',
+                attempt=self._number,
+                silent=','.join(silent),
+            )
+
+    def _handle_silence(self) -> None:
+        """Lets another attempt be opened beside this one."""
+        state = self._state
+        state.attempts.record_silence(self._number)
+        self._deps.outcomes.log_decision(
+            state.req,
+            'attempt_silent',
+            upstream=self._upstream.name,
+            attempt=self._number,
+            silence_ms=int(self._timer.timeout_s * 1000),
+            late_ms=int(self._timer.late_s * 1000),
+        )
+        if state.attempts.may_run():
+            self.blame_silence()
+        state.changed.set()
+
+    def blame_silence(self) -> None:
+        """Counts the silence of this attempt against its upstream, once."""
+        if self._upstream is None or self._is_blamed:
+            return
+        self._is_blamed = True
+        self._deps.record_failure(self._upstream, 'no response in time')
+
+    def _handle_refusal(self, response) -> None:
+        """Records that the upstream did not run the request."""
+        deps, upstream = self._deps, self._upstream
+        self._timer.disarm()
+        self._record_not_run()
+        if response.misdirected:
+            deps.record_failure(upstream, 'misdirected', eject_now=True)
+        elif response.retry_after_s:
+            deps.pauses.pause(upstream.name, response.retry_after_s)
+        self._log_failure(f'not run, status {response.status}')
+
+    def _handle_break(self, exc) -> None:
+        """Records that no answer came, or that it broke off."""
+        deps, state = self._deps, self._state
+        if exc.sent:
+            deps.evidence.record_cut_off(self._upstream, state.req.crash_keys)
+            state.attempts.record_failure(self._number)
+        else:
+            state.unreached += 1
+            self._record_not_run()
+        deps.record_failure(
+            self._upstream, exc.message, eject_now=not exc.sent
+        )
+        self._log_failure(exc.message)
+
+    def _record_not_run(self) -> None:
+        self._state.run_names.discard(self._upstream.name)
+        self._state.attempts.record_refusal(
+            self._number, self._deps.clock.now()
+        )
+
+    def _handle_answer(self, response, body: bytes) -> None:
+        """Passes a complete answer on, unless the upstream has failed."""
+        deps, state, upstream = self._deps, self._state, self._upstream
+        found = _types.Response(response.status, response.headers, body)
+        if response.status >= 500:
+            reason = f'status {response.status}'
+            state.error_response = found
+            state.attempts.record_failure(self._number)
+            deps.record_failure(upstream, reason)
+            self._log_failure(reason)
+            return
+        self._win(found)
+        deps.health.record_success(upstream.name)
+        deps.evidence.record_survival(state.req.crash_keys)
+
+    def _log_failure(self, reason: str) -> None:
+        state = self._state
+        self._deps.outcomes.log_decision(
+            state.req,
+            'attempt_failed',
+            upstream=self._upstream.name,
+            attempt=self._number,
+            reason=reason,
+            runs=state.attempts.runs,
+            repeats=state.attempts.may_run(),
+            parts=','.join(state.req.crash_keys),
+        )
+
+    def _win(self, response: _types.Response) -> None:
+        """Makes a response the answer; closes all other attempts."""
+        state = self._state
+        closed = state.attempts.record_event(self._number)
+        state.attempts.record_end(self._number)
+        state.answer = response
+        for number in closed:
+            state.tasks[number].cancel()
+        if closed:
+            self._deps.outcomes.log_decision(
+                state.req,
+                'attempt_won',
+                upstream=self._upstream.name if self._upstream else '',
+                attempt=self._number,
+                closed=','.join(str(number) for number in closed),
+            )
+
+    # Through another node.
+
+    async def _relay(self) -> None:
+        """Runs the attempt through another node."""
+        deps, state, attempts = self._deps, self._state, self._state.attempts
+        runs_left = state.req.run_limit(state.route) - attempts.runs
+        attempts.record_sent(self._number)
+        response = await deps.relay.serve(
+            state.req, state.deadline, max(runs_left, 1), None
+        )
+        if response.status < 500:
+            self._win(response)
+        elif response.status == 503 and response.reason:
+            state.refusal, state.reason = response, response.reason
+            attempts.record_refusal(
+                self._number, deps.clock.now(), is_final=True
+            )
+        else:
+            state.error_response = response
+            state.tries = MAX_SENDS  # it may have used up all runs
+            attempts.record_failure(self._number, is_final=True)
+
+
+class _UpstreamChoice:
+    """Chooses the upstreams of plain requests.
+
+    Args:
+        deps: Components that the request runners share.
+    """
+
+    def __init__(self, deps):
+        self._deps = deps
         self._rotations: collections.Counter = collections.Counter()
 
-    async def _choose_upstream(
-        self, service: str, candidates, tried_names, wait_until
+    async def choose(
+        self, service: str, candidates, tried_names, wait_until: float
     ):
         """Returns the upstream with the fewest requests of all nodes.
 
@@ -70,7 +522,13 @@
         permitted = await deps.rates.try_acquire(service, limited)
         return permitted or self._least_loaded(service, unlimited)
 
-    def _candidates(self, service: str, tried_names) -> list:
+    def find(self, service: str, tried_names) -> list:
+        """Returns the upstreams to choose from.
+
+        Args:
+            service: Name of the service.
+            tried_names: Names of upstreams to leave out.
+        """
         active = self._active(service, tried_names)
         return self._deps.health.exclude_ejected(active)
 
@@ -95,263 +553,25 @@
         )
         return min(rotated, key=lambda item: deps.loads.total(item.name))
 
-    async def serve(self, req, route, service: str, account: str):
-        """Serves one request, with retries as far as they are allowed.
 
-        Retries are limited by the route, the retry budget and ``MAX_SENDS``.
-        They end at the client's deadline or the time-out of the route,
-        whichever is earlier.
-
-        Args:
-            req: The request.
-            route: Its route.
-            service: Name of the service.
-            account: Name of the client account, or empty.
+def _collect_ended(state) -> None:
+    """Forgets the tasks that have ended.
 
-        Returns:
-            The response of an upstream, or an error of this node.
-        """
-        deps = self._deps
-        deadline = min(req.deadline, req.arrived_at + route.timeout_ms / 1000)
-        run_limit = req.run_limit(route)
-        unreached = 0
-        tried_names = set()
-        sent_names = set()
-        runs = 0
-        last_response = None
-        refused = None
-        wait_until = min(
-            req.arrived_at
-            + route.latency_target_ms * PERMIT_WAIT_TARGETS / 1000,
-            deadline,
-        )
-        for sends in range(MAX_SENDS):
-            may_run = runs == 0 or route.is_idempotent
-            if may_run and deps.relay.is_needed(req, unreached):
-                # A retry if it has arrived at an upstream.
-                if sends > unreached and not deps.budget.try_take(service):
-                    deps.outcomes.log_decision(
-                        req, 'retry_denied', service=service
-                    )
-                    break
-                return await self._relay(req, deadline, run_limit, runs)
-            candidates = self._candidates(service, tried_names)
-            if not candidates and runs == 0:
-                tried_names.clear()
-                candidates = self._candidates(service, tried_names)
-            if not candidates or deps.clock.now() >= deadline:
-                break
-            if deps.quarantine.find(req.crash_keys) is not None:
-                break
-            if sends and not deps.budget.try_take(service):
-                deps.outcomes.log_decision(
-                    req, 'retry_denied', service=service
-                )
-                break
-            try:
-                upstream = await self._choose_upstream(
-                    service, candidates, tried_names, wait_until
-                )
-            except errors.NotRunError as exc:
-                refused = exc
-                break
-            is_last = runs + 1 >= run_limit
-            attempt = _types.Attempt(
-                req,
-                upstream,
-                account,
-                deadline,
-                priority=route.priority,
-                use_new_connection=(
-                    route.kind is deployment.RouteKind.UNSAFE
-                    or upstream.name in sent_names
-                ),
-                is_repeated=sends > 0,
-            )
-            result = await self._run_attempt(attempt, route, is_last)
-            tried_names.add(upstream.name)
-            sent_names.add(upstream.name)
-            if result.response is not None and not result.is_server_error:
-                return result.response
-            runs += result.may_have_run
-            unreached += result.is_unreached
-            last_response = result.response or last_response
-            may_retry = not result.may_have_run or (
-                route.is_idempotent and runs < run_limit
-            )
-            deps.outcomes.log_decision(
-                req,
-                'attempt_failed',
-                upstream=upstream.name,
-                reason=result.reason,
-                runs=runs,
-                repeats=may_retry,
-                parts=','.join(req.crash_keys),
-            )
-            if not may_retry:
-                break
-        if last_response is not None:
-            return last_response
-        if runs == 0 and refused is not None:
-            remaining_s = req.deadline - deps.clock.now()
-            return _types.Response(
-                503,
-                retry_after_s=_queue.retry_after_s(
-                    refused.retry_after_s, remaining_s
-                ),
-                reason=refused.message,
-            )
-        if runs == 0:
-            return _types.Response(
-                503,
-                retry_after_s=self._refused_retry_after_s(req, service),
-                reason='no upstream accepted the request',
-            )
-        if deps.clock.now() >= deadline:
-            return _types.Response(GATEWAY_TIMEOUT, reason='deadline passed')
-        return _types.Response(
-            BAD_GATEWAY, reason='outcome unknown, request may have run'
-        )
-
-    def _refused_retry_after_s(self, req, service: str) -> float:
-        """Returns when a client should try again: when an upstream is back."""
-        deps = self._deps
-        pause_s = min(
-            (
-                deps.pauses.remaining_s(item.name)
-                for item in deps.upstreams.find_by_service(service)
-                if not item.draining
-            ),
-            default=0.0,
-        )
-        if not pause_s:
-            return REFUSED_RETRY_AFTER_S
-        return _queue.retry_after_s(
-            pause_s + self._rng.uniform(0.0, REFUSED_RETRY_AFTER_S),
-            req.deadline - deps.clock.now(),
-        )
-
-    async def _relay(self, req, deadline, run_limit: int, runs: int):
-        """Serves a request through another node.
-
-        Runs at upstreams that are cut off from this node do not count, as
-        their answers can't arrive.
-
-        Args:
-            req: The request.
-            deadline: Monotonic seconds.
-            run_limit: How often the request may run.
-            runs: How often it may have run.
-        """
-        try:
-            async with asyncio.timeout(deadline - self._deps.clock.now()):
-                response = await self._deps.relay.serve(
-                    req, deadline, max(run_limit - runs, 1), None
-                )
-        except TimeoutError:
-            return _types.Response(GATEWAY_TIMEOUT, reason='deadline passed')
-        if runs and response.status == 503 and response.reason:
-            return _types.Response(BAD_GATEWAY, reason=response.reason)
-        return response
-
-    async def _run_attempt(self, attempt, route, is_last: bool):
-        deps = self._deps
-        req, upstream = attempt.request, attempt.upstream
-        is_unsafe = route.kind is deployment.RouteKind.UNSAFE
-        deps.loads.increment(upstream.name)
-        upstream_response = None
-        try:
-            async with asyncio.timeout(
-                self._attempt_timeout_s(
-                    route, attempt.deadline, is_unsafe, is_last
-                )
-            ):
-                upstream_response = await deps.send(attempt)
-                if upstream_response.not_run:
-                    await upstream_response.discard()
-                else:
-                    body = await upstream_response.read()
-        except TimeoutError:
-            deps.record_failure(upstream, 'no response in time')
-            was_refused = (
-                upstream_response is not None and upstream_response.not_run
-            )
-            return _AttemptResult(None, not was_refused, 'no response in time')
-        except errors.UpstreamError as exc:
-            if exc.sent:
-                deps.evidence.record_cut_off(upstream, req.crash_keys)
-            deps.record_failure(upstream, exc.message, eject_now=not exc.sent)
-            return _AttemptResult(
-                None, exc.sent, exc.message, is_unreached=not exc.sent
-            )
-        finally:
-            deps.loads.decrement(upstream.name)
-            if upstream_response is not None:
-                upstream_response.close()
-        if upstream_response.not_run:
-            if upstream_response.misdirected:
-                deps.record_failure(upstream, 'misdirected', eject_now=True)
-            elif upstream_response.retry_after_s:
-                deps.pauses.pause(
-                    upstream.name, upstream_response.retry_after_s
-                )
-            return _AttemptResult(
-                None, False, f'not run, status {upstream_response.status}'
-            )
-        response = _types.Response(
-            upstream_response.status, upstream_response.headers, body
-        )
-        if upstream_response.status >= 500:
-            deps.record_failure(upstream, f'status {upstream_response.status}')
-            return _AttemptResult(
-                response,
-                True,
-                f'status {upstream_response.status}',
-                is_server_error=True,
-            )
-        deps.health.record_success(upstream.name)
-        deps.evidence.record_survival(req.crash_keys)
-        return _AttemptResult(response, True, '')
-
-    def _attempt_timeout_s(
-        self, route, deadline, is_unsafe: bool, is_last: bool
-    ) -> float:
-        """Returns for how many seconds to wait for one attempt.
-
-        A safe request with attempts left is given up early, to leave time for
-        the next one. An unsafe request, which can't be retried after a
-        time-out, and a last attempt wait until the deadline.
-        """
-        remaining_s = max(deadline - self._deps.clock.now(), 0.0)
-        if is_unsafe or is_last:
-            return remaining_s
-        return min(
-            remaining_s,
-            route.latency_target_ms * ATTEMPT_TIMEOUT_TARGETS / 1000,
-        )
+    Raises:
+        Exception: If one failed.
+    """
+    for number, task in list(state.tasks.items()):
+        if task.done():
+            del state.tasks[number]
+            del state.open_attempts[number]
+            if not task.cancelled():
+                task.result()
 
 
-class _AttemptResult:
-    """Outcome of one attempt."""
-
-    __slots__ = (
-        'response',
-        'may_have_run',
-        'reason',
-        'is_server_error',
-        'is_unreached',
-    )
-
-    def __init__(
-        self,
-        response,
-        may_have_run,
-        reason,
-        is_server_error=False,
-        is_unreached=False,
-    ):
-        self.is_unreached = is_unreached
-        self.response = response
-        self.may_have_run = may_have_run
-        self.reason = reason
-        self.is_server_error = is_server_error
+async def _cancel_all(tasks) -> None:
+    """Cancels tasks and waits until they have ended."""
+    pending = [task for task in tasks if not task.done()]
+    for task in pending:
+        task.cancel()
+    if pending:
+        await asyncio.wait(pending)
