--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -92,6 +92,7 @@
     stream stays silent after ``silent_after`` events, before it goes on.
     ``broken`` goes before all of these. Prompts are read one after the other,
     each for ``prefill_s``.
+    A complete plain answer comes after ``answer_s``.
     The runner crashes when it is about to send the first event of a request
     whose prompt has ``crash_part``, or any answer to one whose body is
     ``crash_body``, and starts again after ``RESTART_S``. All answers name
@@ -112,6 +113,7 @@
     silence_s: float = 0.0
     silent_after: int = 1
     prefill_s: float = 0.0
+    answer_s: float = 0.0
 
 
 class RunnerStandIn:
@@ -403,6 +405,8 @@
         elif self.model:
             await self._stream(reader, writer, seen, headers)
         elif answer_mode in ('whole', 'refusal_again'):
+            if self.faults.answer_s:
+                await asyncio.sleep(self.faults.answer_s)
             _send(writer, 200, headers, self.body)
         elif answer_mode == 'truncated':
             headers.append(('Content-Length', str(len(self.body) + 10)))
