Do not take a late loop for an upstream that does not accept

A node that was paused for longer than the limit on connecting (1 s) took the engine or service for one that does not accept, although the connection was open. Chat requests then left the copy and suspected its head, which no node sends to until it has been probed again. Both that and a real time-out while connecting counted as sent: a call that must not run twice got an unknown outcome although nothing had been sent, and a chat request used up the retry budget, or broke off.

upstreams/_connecting.py connects once more if the loop ran late, while the deadline allows it, and the clients report a time-out while connecting as not sent; the library raises that error only before it has sent anything.

tests/upstreams/test_late_loop.py: 9 of the 15 rows that block the loop for 1.3 s (the others connect before it), and the 3 rows of an upstream that does not accept, were red before. Every request arrives once.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -207,6 +207,20 @@
         'async with asyncio.timeout(HELLO_TIMEOUT_S):\n                conn',
         'tests/peers/test_links.py',
     ),
+    Mutant(
+        'a late loop connects again',
+        'plantainway/upstreams/_connecting.py',
+        'if is_repeated or not is_late or now >= deadline:',
+        'if True:',
+        'tests/upstreams/test_late_loop.py',
+    ),
+    Mutant(
+        'what could not connect was not sent',
+        'plantainway/upstreams/_connecting.py',
+        '(aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)',
+        '(aiohttp.ClientConnectorError,)',
+        'tests/upstreams/test_late_loop.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/plantainway/upstreams/_http_engine.py
+++ b/plantainway/upstreams/_http_engine.py
@@ -1,6 +1,7 @@
 """HTTP client of a model engine."""
 
 import dataclasses
+import math
 import time
 import typing
 
@@ -11,11 +12,11 @@
 from plantainway import errors
 from plantainway import loops
 from plantainway import sessions
+from plantainway.upstreams import _connecting
 from plantainway.upstreams import _engine
 
 STATE_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 3.0
-CONNECT_TIMEOUT_S = 1.0
 EVENT_MAX_BYTES = 65536
 STATE_MAX_BYTES = 1 << 20
 REASON_MAX_BYTES = 65536  # of a refused order
@@ -124,7 +125,7 @@
                     raise self._upstream_error(
                         f'status {resp.status}', f'order_{name}'
                     )
-        except aiohttp.ClientConnectorError as exc:
+        except _connecting.CONNECT_ERRORS as exc:
             raise self._upstream_error(repr(exc), f'order_{name}', sent=False)
         except _CALL_ERRORS as exc:
             raise self._upstream_error(repr(exc), f'order_{name}')
@@ -151,7 +152,7 @@
             REQUEST_HEADER: call.req_id,
         }
         async for event in self._stream_events(
-            '/v1/chat/completions', 'chat', body, headers
+            '/v1/chat/completions', 'chat', body, headers, call.deadline
         ):
             yield event
 
@@ -161,17 +162,19 @@
         """Resumes an attempt; see the base class."""
         body = {'attempt': attempt, 'caller': caller, 'after': after}
         async for event in self._stream_events(
-            '/orders/resume', 'resume', body, {}
+            '/orders/resume', 'resume', body, {}, math.inf
         ):
             yield event
 
-    async def _stream_events(self, path, step, body, headers):
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        )
+    async def _stream_events(self, path, step, body, headers, deadline):
         try:
-            async with self._session.post(
-                self._base + path, json=body, headers=headers, timeout=timeout
+            async with _connecting.send_request(
+                self._session,
+                'POST',
+                self._base + path,
+                deadline,
+                json=body,
+                headers=headers,
             ) as resp:
                 await self._check_status(resp, step)
                 while True:
@@ -181,7 +184,7 @@
                         yield event
                         if event.end:
                             return
-        except aiohttp.ClientConnectorError as exc:
+        except _connecting.CONNECT_ERRORS as exc:
             raise self._upstream_error(repr(exc), step, sent=False)
         except (*_CALL_ERRORS, EOFError) as exc:
             raise self._upstream_error(repr(exc), step)
--- a/plantainway/upstreams/_service.py
+++ b/plantainway/upstreams/_service.py
@@ -1,14 +1,15 @@
 """Interface and HTTP client of a plain service."""
 
 import abc
+import asyncio
 import dataclasses
 import time
 
 import aiohttp
 
 from plantainway import errors
+from plantainway.upstreams import _connecting
 
-CONNECT_TIMEOUT_S = 1.0
 RESPONSE_MAX_BYTES = 1 << 20
 
 
@@ -70,19 +71,20 @@
     async def call(self, call: ServiceCall) -> ServiceResponse:
         """Sends a call; see the base class."""
         remaining_s = max(call.deadline - time.monotonic(), 0.001)
-        timeout = aiohttp.ClientTimeout(
-            total=remaining_s, sock_connect=min(CONNECT_TIMEOUT_S, remaining_s)
-        )
         step = 'service_call'
         try:
-            async with self._session.request(
-                call.method,
-                self._base + call.path,
-                data=call.body,
-                headers=call.headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as resp:
+            async with (
+                asyncio.timeout(remaining_s),
+                _connecting.send_request(
+                    self._session,
+                    call.method,
+                    self._base + call.path,
+                    call.deadline,
+                    data=call.body,
+                    headers=call.headers,
+                    allow_redirects=False,
+                ) as resp,
+            ):
                 body = await resp.content.read(RESPONSE_MAX_BYTES + 1)
                 while not resp.content.at_eof() and (
                     len(body) <= RESPONSE_MAX_BYTES
@@ -95,7 +97,7 @@
                         self.name,
                     )
                 return ServiceResponse(resp.status, resp.content_type, body)
-        except aiohttp.ClientConnectorError as exc:
+        except _connecting.CONNECT_ERRORS as exc:
             raise errors.UpstreamError(repr(exc), step, self.name, sent=False)
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise errors.UpstreamError(repr(exc), step, self.name)
--- a/tests/upstreams/test_late_loop.py
+++ b/tests/upstreams/test_late_loop.py
@@ -4,11 +4,13 @@
 import dataclasses
 import http.server
 import json
+import socket
 import threading
 import time
 
 import pytest
 
+from plantainway import errors
 from plantainway import upstreams
 
 ANSWER_S = 0.05
@@ -30,7 +32,7 @@
         self.rfile.read(length)
         time.sleep(ANSWER_S)
         body = json.dumps(dataclasses.asdict(STATE)).encode()
-        if self.path == '/v1/chat/completions':
+        if self.path in ('/v1/chat/completions', '/orders/resume'):
             body = b'id: a1/1\ndata: {}\n\nid: a1/1\ndata: [DONE]\n\n'
         self.send_response(200)
         self.send_header('Content-Length', str(len(body)))
@@ -68,3 +70,68 @@
         await asyncio.sleep(0)
     time.sleep(LATE_S)
     assert await task == STATE
+
+
+async def chat(address, session, left_s=9.0):
+    """Sends a chat request; returns whether the answer is whole."""
+    engine = upstreams.HttpEngine('vm-1', address, session)
+    call = upstreams.ChatCall(
+        'a1', 'shops', 'c', 1, {}, time.monotonic() + left_s
+    )
+    return [event.end async for event in engine.chat(call)] == [False, True]
+
+
+async def resume(address, session, _left_s=9.0):
+    """Resumes an attempt; returns whether the answer is whole."""
+    engine = upstreams.HttpEngine('vm-1', address, session)
+    events = engine.resume('a1', 'shops', 0)
+    return [event.end async for event in events] == [False, True]
+
+
+async def call_service(address, session, left_s=9.0):
+    """Sends a call that must not run twice."""
+    service = upstreams.HttpService('l', address, session)
+    found = await service.call(
+        upstreams.ServiceCall(
+            'POST', '/orders', {}, b'{}', time.monotonic() + left_s
+        )
+    )
+    return found.status == 200
+
+
+REQUESTS = [chat, resume, call_service]
+
+
+@pytest.mark.parametrize('request_of', REQUESTS)
+@pytest.mark.parametrize('rounds', [1, 2, 3, 4, 6])
+async def test_request_of_a_late_loop_runs_once(
+    server, session, request_of, rounds
+):
+    """Guards against a late node that takes an upstream for gone."""
+    task = asyncio.ensure_future(request_of(server.address, session))
+    for _round in range(rounds):
+        await asyncio.sleep(0)
+    time.sleep(LATE_S)
+    assert await task
+    assert len(server.received) == 1
+
+
+@pytest.mark.parametrize('request_of', REQUESTS)
+async def test_request_to_an_upstream_that_does_not_accept_is_unsent(
+    session, request_of
+):
+    """Guards against an unknown outcome of what was never sent."""
+    with socket.socket() as full:
+        full.bind(('127.0.0.1', 0))
+        full.listen(0)
+        waiting = [socket.create_connection(full.getsockname())]
+        for _connection in range(2):
+            more = socket.socket()
+            more.setblocking(False)
+            more.connect_ex(full.getsockname())
+            waiting.append(more)
+        with pytest.raises(errors.UpstreamError) as caught:
+            await request_of('%s:%d' % full.getsockname(), session)
+        assert not caught.value.sent
+        for one in waiting:
+            one.close()
