Read what has arrived before a service call counts as unknown

A node that was paused past the deadline of a call found its time-out due while the answer lay in the socket. A call that must not run twice then got an unknown outcome, and its answer was not recorded under its idempotency key.

The deadline stands, and a call is not sent after it, but what lies in the socket when it has come is read first (upstreams.answer_within).

tests/upstreams/test_late_loop.py: both rows of the deadline were red before. A slow service is still given up (test_a_call_is_sent_once). The rows of orders were green: an order that a pause delayed is not sent, so lost time shortens what the holder of a lease may do; their time-out stays as it is.

--- a/plantainway/upstreams/__init__.py
+++ b/plantainway/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Clients of model engines and plain services."""
 
+from plantainway.upstreams._deadlines import answer_within
 from plantainway.upstreams._engine import BaseEngine
 from plantainway.upstreams._engine import ChatCall
 from plantainway.upstreams._engine import ChatEvent
--- a/plantainway/upstreams/_service.py
+++ b/plantainway/upstreams/_service.py
@@ -1,7 +1,6 @@
 """Interface and HTTP client of a plain service."""
 
 import abc
-import asyncio
 import dataclasses
 import time
 
@@ -9,6 +8,7 @@
 
 from plantainway import errors
 from plantainway.upstreams import _connecting
+from plantainway.upstreams import _deadlines
 
 RESPONSE_MAX_BYTES = 1 << 20
 
@@ -74,7 +74,7 @@
         step = 'service_call'
         try:
             async with (
-                asyncio.timeout(remaining_s),
+                _deadlines.answer_within(remaining_s),
                 _connecting.send_request(
                     self._session,
                     call.method,
--- a/tests/upstreams/test_late_loop.py
+++ b/tests/upstreams/test_late_loop.py
@@ -12,6 +12,7 @@
 
 from plantainway import errors
 from plantainway import upstreams
+from plantainway.upstreams import _http_engine
 
 ANSWER_S = 0.05
 LATE_S = 1.3  # longer than the limits on a state and on connecting
@@ -135,3 +136,31 @@
         assert not caught.value.sent
         for one in waiting:
             one.close()
+
+
+@pytest.mark.parametrize('left_s', [0.2, 0.5])
+async def test_answer_of_a_service_that_came_before_the_deadline_counts(
+    server, session, left_s
+):
+    """Guards against an unknown outcome of a call that was answered."""
+    await call_service(server.address, session)
+    task = asyncio.ensure_future(call_service(server.address, session, left_s))
+    await asyncio.sleep(0.02)  # the call has been sent
+    time.sleep(2 * left_s)
+    assert await task
+
+
+@pytest.mark.parametrize('pause_s', [0.0, 0.4])
+async def test_order_of_a_late_loop_is_not_sent_after_its_time(
+    server, session, monkeypatch, pause_s
+):
+    """Guards against an order sent by a former holder of the lease."""
+    monkeypatch.setattr(_http_engine, 'ORDER_TIMEOUT_S', 0.2)
+    engine = upstreams.HttpEngine('vm-1', server.address, session)
+    task = asyncio.ensure_future(engine.unload('c', 1))
+    await asyncio.sleep(0)
+    time.sleep(pause_s)
+    found = (await asyncio.gather(task, return_exceptions=True))[0]
+    await asyncio.sleep(ANSWER_S)
+    assert isinstance(found, errors.UpstreamError) == bool(pause_s)
+    assert len(server.received) == (0 if pause_s else 1)
