Pass on what has arrived before the deadline of a chat request

A node that was paused past the deadline of a chat request found its time-out due while the rest of the answer lay in the socket. It cancelled the attempt and cut the answer off, though the engine had finished in time.

An attempt now ends at the deadline by upstreams.answer_within, which reads what lies in the socket first.

tests/requests/test_chat.py: both rows of whole answers were red before, as is, without the second part, the row of an engine that ends the attempt. An attempt that goes on after the deadline is cancelled as before, and a silent attempt is left alone (that row was green: the own interface ends none for its silence).

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -221,6 +221,20 @@
         '(aiohttp.ClientConnectorError,)',
         'tests/upstreams/test_late_loop.py',
     ),
+    Mutant(
+        'what has arrived is read before a deadline counts',
+        'plantainway/upstreams/_deadlines.py',
+        'asyncio.timeout(None)',
+        'asyncio.timeout(left_s)',
+        'tests/requests/test_chat.py tests/upstreams/test_late_loop.py',
+    ),
+    Mutant(
+        'an attempt that fails after the deadline exceeded it',
+        'plantainway/requests/_chat.py',
+        'if exc.sent and self._parts.clock.now() >= self._req.deadline:',
+        'if False:',
+        'tests/requests/test_chat.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/plantainway/requests/_chat.py
+++ b/plantainway/requests/_chat.py
@@ -335,7 +335,9 @@
         )
         try:
             async with (
-                asyncio.timeout_at(self._loop_deadline()),
+                upstreams.answer_within(
+                    self._req.deadline - self._parts.clock.now()
+                ),
                 contextlib.aclosing(events) as stream,
             ):
                 async for event in stream:
@@ -363,16 +365,15 @@
             self._outcome = 'resume_lost'
             raise
         except errors.UpstreamError as exc:
+            # An engine ends the attempt at the deadline by itself.
+            if exc.sent and self._parts.clock.now() >= self._req.deadline:
+                self._cancel_expired(copy, attempt, head)
             self._record_failure(exc, copy, attempt, head)
         except TimeoutError:
             self._cancel_expired(copy, attempt, head)
         finally:
             silence.stop()
 
-    def _loop_deadline(self) -> float:
-        left_s = self._req.deadline - self._parts.clock.now()
-        return asyncio.get_running_loop().time() + left_s
-
     def _cancel_expired(self, copy, attempt: str, head: str):
         """Cancels an attempt whose deadline has passed, and raises."""
         address = self._view.objects.get('upstream', head).address
