Look for an answer after the wait, not only before a pause

A caller that repeats a call with its idempotency key waits for the answer of the earlier attempt for 3 s. A node that was paused while it read the key's row judged by that old row that there was no answer, although one had been recorded meanwhile, and reported an unknown outcome.

The wait now counts until the row was asked for, so that the last look at it is never older than its end.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -235,6 +235,13 @@
         'if False:',
         'tests/requests/test_chat.py',
     ),
+    Mutant(
+        'no answer only if none is there after the wait',
+        'plantainway/requests/_keys.py',
+        'if row is None or read_at >= deadline:',
+        'if row is None or self._clock.now() >= deadline:',
+        'tests/requests/test_keys.py',
+    ),
     Mutant(
         'a started idempotency key is not claimed again',
         'plantainway/requests/_keys.py',
--- a/plantainway/requests/_keys.py
+++ b/plantainway/requests/_keys.py
@@ -191,7 +191,8 @@
         self, account, key, request_digest, key_rows
     ) -> Replay:
         """Returns the answer of an earlier attempt, waiting if necessary."""
-        deadline = self._clock.now() + ANSWER_WAIT_S
+        read_at = self._clock.now()
+        deadline = read_at + ANSWER_WAIT_S
         while True:
             row = key_rows.active_row()
             if row is not None and row.value['body'] != request_digest:
@@ -201,13 +202,14 @@
                 )
             if row is not None and row.value['state'] == ANSWERED:
                 return _replay(row.value['answer'])
-            if row is None or self._clock.now() >= deadline:
+            if row is None or read_at >= deadline:
                 raise errors.OutcomeUnknownError(
                     'an earlier attempt with this key has no recorded answer',
                     'record',
                     key=key,
                 )
             await asyncio.sleep(RETRY_DELAY_S)
+            read_at = self._clock.now()
             key_rows = await self._read_rows(account, key)
 
     async def record_answer(
--- a/tests/requests/test_keys.py
+++ b/tests/requests/test_keys.py
@@ -227,3 +227,51 @@
     await sweep.sweep_once()
     assert sweep.removed_rows == 1
     assert await cluster.state() is None
+
+
+class _PausedTable(standins.MemoryTable):
+    """Table at which the third read takes ``pause_s`` of the node's time.
+
+    Meanwhile the attempt gets its answer.
+    """
+
+    def __init__(self, manual_clock):
+        super().__init__()
+        self._clock = manual_clock
+        self.reads_left = None
+        self.pause_s = 0.0
+        self.on_pause = None
+
+    async def read(self, key):
+        """Reads a row, before the node is paused."""
+        row = await super().read(key)
+        if self.reads_left:
+            self.reads_left -= 1
+            if not self.reads_left:
+                self._clock.advance(self.pause_s)
+                await self.on_pause()
+        return row
+
+
+@pytest.mark.parametrize('reads', [3, 5])
+@pytest.mark.parametrize('pause_s', [0.0, 60.0])
+async def test_answer_recorded_during_a_pause_is_found(reads, pause_s):
+    """Guards against a late node that trusts a row read before its pause."""
+    cluster = TwoNodeCluster()
+    cluster.clock = clock.ManualClock()
+    cluster.table = _PausedTable(cluster.clock)
+    cluster.stores = [
+        requests.IdempotencyKeyStore(cluster.table, cluster.clock, name)
+        for name in ('n1', 'n2')
+    ]
+    started = await cluster.start_attempt(0, 'a1')
+
+    async def record():
+        assert await cluster.stores[0].record_answer(started, b'body', ANSWER)
+
+    cluster.table.on_pause = record
+    cluster.table.pause_s = pause_s
+    cluster.table.reads_left = reads
+    async with asyncio.timeout(5.0):
+        found = await cluster.start_attempt(1, 'a2')
+    assert found == requests.Replay(ANSWER)
