--- a/tests/cluster/test_leadership.py
+++ b/tests/cluster/test_leadership.py
@@ -69,6 +69,31 @@
     assert not first.is_leader()
 
 
+@pytest.mark.parametrize('reads_late', [False, True])
+async def test_late_observer_does_not_get_a_lease_that_was_renewed(
+    table, reads_late
+):
+    """Guards against a pause that is taken for a lapse of the lease."""
+    clocks_by_node = [clocks.ManualClock(), clocks.ManualClock()]
+    first, second = (
+        _node(name, table, clock)
+        for name, clock in zip(('n1', 'n2'), clocks_by_node, strict=True)
+    )
+    assert await _acquire(first)
+    await second.read_lease()
+    for clock in clocks_by_node:
+        clock.advance(_leadership.RENEW_EVERY_S)
+    assert await first.renew()
+    clocks_by_node[1].advance(_leadership.LEASE_TERM_S)
+    if reads_late:
+        await second.read_lease()
+        assert not second.may_acquire(0.0)
+    assert not (second.may_acquire(0.0) and await second.acquire('10.0.0.2:1'))
+    assert not second.is_leader()
+    assert first.is_leader()
+    assert await first.renew()
+
+
 async def test_renewal_restarts_observer_wait(table, clock):
     """A lease that is renewed does not lapse for an observer."""
     first, second = (_node(name, table, clock) for name in ('n1', 'n2'))
