Do not extend a lease because its holder was paused

A leader that was paused for 1.2 s to 1.8 s found its renewal overdue and, in its sockets, heartbeats of nodes that may have left it since. It took that for an outage of the store with enough followers, and extended its lease by 0.8 s without a renewal: beyond the time at which another node may acquire it.

A renewal is late only if it was tried and the store has had the usual time to answer. On a node that is on time that is never later than before: a renewal is tried within a tick (0.25 s) of its time, and 0.15 s are left of the 0.4 s.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1110,6 +1110,20 @@
         'async with asyncio.timeout(BODY_TIMEOUT_S):',
         'tests/platform/test_late_store_calls.py',
     ),
+    Mutant(
+        'a renewal that was not sent is not late',
+        'plantainway/edge/_election.py',
+        'if self._first_tried_at is None:\n            return False\n',
+        'if self._first_tried_at is None:\n            return True\n',
+        'tests/edge/test_election.py',
+    ),
+    Mutant(
+        'a renewal that was just sent is not late',
+        'plantainway/edge/_election.py',
+        'self._first_tried_at + RENEWAL_ANSWER_S,',
+        'self._first_tried_at,',
+        'tests/edge/test_election.py',
+    ),
     Mutant(
         'a silent stream waits while no other attempt may be opened',
         'plantainway/traffic/_attempts.py',
--- a/plantainway/edge/_election.py
+++ b/plantainway/edge/_election.py
@@ -11,6 +11,9 @@
 # A renewal later than this means that the store does not answer: one tick and
 # the duration of a renewal are normal.
 RENEWAL_LATE_S = 0.4
+# Duration of a renewal that is normal. After a pause of this node the renewal
+# is due, but says nothing about the store before it has taken longer.
+RENEWAL_ANSWER_S = 0.15
 CANDIDATE_DELAY_MAX_S = 0.2  # random, so that candidates do not collide
 # Before the other nodes are known, candidates with less than a whole core
 # wait up to this much longer.
@@ -59,6 +62,7 @@
         self._random_delay_s = rng.uniform(0.0, CANDIDATE_DELAY_MAX_S)
         self._renew_at = 0.0
         self._renewed_at = float('-inf')
+        self._first_tried_at: float | None = None  # after that
         self._is_extended = False
         self._lease_read_at = float('-inf')
         self._link_task: asyncio.Task | None = None
@@ -131,7 +135,10 @@
     async def _renew(self) -> None:
         if self._clock.now() < self._renew_at:
             return
-        self._renew_at = self._clock.now() + cluster.RENEW_EVERY_S
+        now = self._clock.now()
+        self._renew_at = now + cluster.RENEW_EVERY_S
+        if self._first_tried_at is None:
+            self._first_tried_at = now
         if await self._leadership.renew():
             self._record_renewal()
             if self._is_leaving:
@@ -182,10 +189,11 @@
         """Extends the leadership if a renewal is late and nodes follow.
 
         Keeps this node leading through an outage of the store. Called with
-        each heartbeat received, since a renewal may block on the store.
+        each heartbeat received, since a renewal may block on the store. Those
+        that lay unread while this node was paused do not show that their
+        senders still follow.
         """
-        late_at = self._renewed_at + cluster.RENEW_EVERY_S + RENEWAL_LATE_S
-        if not self._leadership.is_leader() or self._clock.now() < late_at:
+        if not self._leadership.is_leader() or not self._is_renewal_late():
             self._is_extended = False
             return
         if not self._hub.has_enough_followers():
@@ -201,8 +209,21 @@
                 ),
             )
 
+    def _is_renewal_late(self) -> bool:
+        """Returns whether the store has not answered a renewal in time.
+
+        A renewal that this node has not sent yet does not count.
+        """
+        if self._first_tried_at is None:
+            return False
+        return self._clock.now() >= max(
+            self._renewed_at + cluster.RENEW_EVERY_S + RENEWAL_LATE_S,
+            self._first_tried_at + RENEWAL_ANSWER_S,
+        )
+
     def _record_renewal(self) -> None:
         self._renewed_at = self._clock.now()
+        self._first_tried_at = None
         self._hub.record_link_count()
 
     async def _acquire_or_follow(self) -> None:
--- a/tests/edge/test_election.py
+++ b/tests/edge/test_election.py
@@ -102,6 +102,31 @@
     assert setup.lease.extensions == extensions
 
 
+@pytest.mark.parametrize('pause_s', [1.3, 1.75])
+@pytest.mark.parametrize(
+    'is_tried, answer_s, extensions',
+    [
+        (False, 0.0, 0),
+        (True, 0.0, 0),
+        (True, 0.1, 0),
+        (True, 0.2, 1),
+    ],
+)
+async def test_late_leader_is_not_extended_before_it_tried_to_renew(
+    pause_s, is_tried, answer_s, extensions
+):
+    """Guards against a lease that is longer for the pause of its holder."""
+    setup = _Setup()
+    await setup.renew()
+    setup.clock.advance(pause_s)
+    setup.lease.is_store_down = True
+    if is_tried:
+        await setup.task._renew()
+    setup.clock.advance(answer_s)
+    setup.task.extend_if_late()
+    assert setup.lease.extensions == extensions
+
+
 async def test_stopping_leader_releases_lease():
     """The lease is released at once if the store answers."""
     setup = _Setup()
