Ask the retry budget before a plain request takes a permit

A retry that the budget does not allow took a permit for a limited upstream and sent nothing. A relayed plain request counts with the runs that the other node may make, as a stream does. Shown by reading; tests/platform/ test_silent_plain.py, test_relayed_retries.py and tests/traffic pass.

--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -248,10 +248,14 @@
         state = self._state
         if not is_retry or self._deps.budget.try_take(state.service):
             return True
+        self._log_denied()
+        return False
+
+    def _log_denied(self) -> None:
+        state = self._state
         self._deps.outcomes.log_decision(
             state.req, 'retry_denied', service=state.service
         )
-        return False
 
     async def _choose(self):
         """Returns the upstream to send to, ``None`` if there is none."""
@@ -261,6 +265,9 @@
             return None
         if deps.quarantine.find(state.req.crash_keys) is not None:
             return None
+        if state.attempts.sends and not deps.budget.has_left(state.service):
+            self._log_denied()
+            return None  # a permit is taken for what is sent only
         try:
             return await self._choice.choose(
                 state.service, candidates, state.tried_names, state.wait_until
@@ -457,9 +464,10 @@
         """Runs the attempt through another node."""
         deps, state, attempts = self._deps, self._state, self._state.attempts
         runs_left = state.req.run_limit(state.route) - attempts.runs
-        attempts.record_sent(self._number)
+        max_runs = max(runs_left, 1)
+        attempts.record_sent(self._number, max_runs)
         response = await deps.relay.serve(
-            state.req, state.deadline, max(runs_left, 1), None
+            state.req, state.deadline, max_runs, None
         )
         if response.status < 500:
             self._win(response)
