--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -1,18 +1,21 @@
 """Tests of the links between nodes: silent peers and late event loops."""
 
 import asyncio
+import contextlib
 import threading
 import time
 import types
 
 import pytest
 from websockets.asyncio import client as ws_client
+from websockets import exceptions as ws_exceptions
 from websockets.sync import client as sync_client
 from websockets.sync import server as sync_server
 
 from plantainway import bus
 from plantainway import clock as clocks
 from plantainway import peers
+from plantainway.peers import _book
 from plantainway.peers import _registry
 from plantainway.peers import _task
 from plantainway import wire
@@ -185,3 +188,46 @@
     async with asyncio.timeout(5.0):
         await conn.wait_closed()
     assert task.dump()['links'] == []
+
+
+@pytest.mark.parametrize('rounds', [0, 2])
+async def test_late_node_does_not_dial_a_peer_that_it_is_linked_to(
+    start, monkeypatch, rounds
+):
+    """Guards against a late node that takes all peers for gone."""
+    monkeypatch.setattr(_book, 'LIVENESS_TIMEOUT_S', 0.4)
+    monkeypatch.setattr(_task, 'HEARTBEAT_PERIOD_S', 0.1)
+    accepted = []
+
+    def answer(conn):
+        accepted.append(conn)
+        conn.send(hello('n5'))
+        address = '127.0.0.1:%d' % peer.socket.getsockname()[1]
+        report = wire.NodeReport(
+            'n5', 1, 1, 'r', 'p', 'f', '', address, False, {}, {}, {}
+        )
+        conn.send(wire.encode(report))
+        with contextlib.suppress(ws_exceptions.ConnectionClosed):
+            while True:
+                beat = wire.Heartbeat('n5', 1, 0, 1)
+                conn.send(wire.encode(wire.Heartbeats([beat], {}, 0)))
+                time.sleep(0.05)
+
+    with sync_server.serve(answer, '127.0.0.1', 0, compression=None) as peer:
+        thread = threading.Thread(target=peer.serve_forever)
+        thread.start()
+        port = peer.socket.getsockname()[1]
+        task = await start('n1', (f'127.0.0.1:{port}',))
+        async with asyncio.timeout(5.0):
+            while len(task.dump()['live']) < 2:
+                await asyncio.sleep(0.01)
+        for _pause in range(3):
+            await asyncio.sleep(0.1)
+            for _round in range(rounds):
+                await asyncio.sleep(0)
+            time.sleep(LATE_S)
+        await asyncio.sleep(0.3)
+        assert task.dump()['links'] == ['n5']
+        assert len(accepted) == 1
+        peer.shutdown()
+        thread.join()
