Keep the nodes of a late leader live until it has listened

A leader that was paused for as long as a node stays live after a heartbeat (1.6 s), 1.2 s after a heartbeat that was due, named no other node to any node in its next update, added up no other node's load, and had no witnesses to ask about an engine: heartbeats of all nodes lay unread in its sockets.

The age of a heartbeat counts until the leader listened last now, which a ListeningTimer records about eight times a second.

tests/cluster/test_late_links.py pauses a leader for 2 s: both rows were red before. A node that sends nothing over a link that stands is still gone.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1124,6 +1124,13 @@
         'self._first_tried_at,',
         'tests/edge/test_election.py',
     ),
+    Mutant(
+        'a late leader reads heartbeats before nodes are gone',
+        'plantainway/cluster/_hub.py',
+        '        now = self._listened_at\n',
+        '        now = None\n',
+        'tests/cluster/test_late_links.py',
+    ),
     Mutant(
         'a silent stream waits while no other attempt may be opened',
         'plantainway/traffic/_attempts.py',
--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -153,6 +153,8 @@
         self._own_heartbeat = own_heartbeat
         self._clock = clock
         self._server = None
+        self._listened_at: float | None = None
+        self._listening_timer: loops.ListeningTimer | None = None
         self._links: dict[str, _NodeLink] = {}
         self._encoded_updates: _EncodedUpdates | None = None
         self._heartbeats: dict[str, tuple[float, _messages.Heartbeat]] = {}
@@ -193,6 +195,8 @@
             close_timeout=CLOSE_TIMEOUT_S,
             max_size=_messages.MESSAGE_BYTES_MAX,
         )
+        self._listening_timer = loops.ListeningTimer(self._record_listening)
+        self._record_listening()
         host, port = self._server.sockets[0].getsockname()[:2]
         return f'{host}:{port}'
 
@@ -203,11 +207,28 @@
         ``CLOSE_TIMEOUT_S``.
         """
         if self._server is not None:
+            self._listening_timer.disarm()
             self._server.close()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(2 * CLOSE_TIMEOUT_S):
                     await self._server.wait_closed()
 
+    def _record_listening(self) -> None:
+        """Records that all heartbeats that have arrived were read."""
+        self._listened_at = self._clock.now()
+        self._listening_timer.arm(loops.SLICE_S)
+
+    def _oldest_live(self) -> float:
+        """Returns the time since which a live node was heard from.
+
+        It counts back from when this node listened last, as heartbeats lie
+        unread after a pause.
+        """
+        now = self._listened_at
+        if now is None:
+            now = self._clock.now()
+        return now - NODE_TIMEOUT_S - SEND_INTERVAL_S
+
     def _wake_links(self, _changed, _removed) -> None:
         self._encoded_updates = None
         for link in self._links.values():
@@ -231,20 +252,20 @@
 
     def live_nodes(self) -> list[_messages.NodeInfo]:
         """Returns this node and the nodes heard from or adopted recently."""
-        now = self._clock.now()
+        oldest = self._oldest_live()
         own = self._own_heartbeat().info
         found = {own.node: own}
         for name, (at, beat) in self._heartbeats.items():
-            if now - at <= NODE_TIMEOUT_S + SEND_INTERVAL_S:
+            if at >= oldest:
                 found.setdefault(name, beat.info)
         for name, (at, info) in self._adopted_nodes.items():
-            if now - at <= NODE_TIMEOUT_S + SEND_INTERVAL_S:
+            if at >= oldest:
                 found.setdefault(name, info)
         return list(found.values())
 
     def live_heartbeats(self) -> list[_messages.Heartbeat]:
         """Returns the latest heartbeat of each live node and of this node."""
-        oldest = self._clock.now() - NODE_TIMEOUT_S - SEND_INTERVAL_S
+        oldest = self._oldest_live()
         beats = [
             beat for at, beat in self._heartbeats.values() if at >= oldest
         ]
--- a/tests/cluster/test_late_links.py
+++ b/tests/cluster/test_late_links.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from plantainway.cluster import _hub
 from plantainway import ratelimits
 from tests.cluster import late_peers
 from tests.platform import conftest
@@ -79,3 +80,44 @@
         await asyncio.sleep(0)
     time.sleep(0.7)
     assert (await task).upstream == 'e1'
+
+
+@pytest.fixture
+async def late_leader(peers, monkeypatch):
+    """Hub of a leader that may run late, with a node that stays linked."""
+    monkeypatch.setattr(_hub, 'LINK_TIMEOUT_S', 9.0)
+    hub = late_peers.new_hub()
+    address = await hub.listen('127.0.0.1:0')
+    link = late_peers.new_link(lambda: late_peers.new_beat('n1'))
+    peers.spawn(link.run_link(address))
+    await conftest.until(lambda: 'n1' in hub._links, 'link')
+    yield hub
+    await hub.close()
+
+
+def _live_names(hub):
+    return {
+        'infos': {info.node for info in hub.live_nodes()},
+        'beats': {beat.info.node for beat in hub.live_heartbeats()},
+    }
+
+
+@pytest.mark.parametrize('kind', ['infos', 'beats'])
+async def test_late_leader_does_not_take_its_nodes_for_gone(late_leader, kind):
+    """Guards against nodes that are dropped for the leader's own pause."""
+    time.sleep(2.0)
+    for _round in range(3):
+        assert 'n1' in _live_names(late_leader)[kind]
+        await asyncio.sleep(0)
+    await asyncio.sleep(0.3)
+    assert 'n1' in _live_names(late_leader)[kind]
+
+
+async def test_node_that_sends_nothing_is_gone(peers, late_leader):
+    """The limit on heartbeats still holds, also for a late leader."""
+    peers.loop.call_soon_threadsafe(time.sleep, 4.0)
+    time.sleep(LATE_S)
+    await conftest.until(
+        lambda: 'n1' not in _live_names(late_leader)['infos'], 'node gone'
+    )
+    assert 'n1' in late_leader._links
