Soak: look up sockets of a cut-off process beside the event loop

A test that cuts one node off from the runners found that all three nodes lost their links, so that the cut node had nobody to relay through.

The proxy decided for each new connection, on the event loop that it shares with all stand-ins, whose it was, by parsing the whole table of sockets, which took 14 ms at 4274 rows. Evidence: a node that was not cut off counted three heads as stalled within 16 ms, and lost its links in the same millisecond as the other one; the time for which the loop was held up was not measured.

The table is now read in a thread, and searched for one port.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,7 @@
 import enum
 import os
 import pathlib
+import re
 
 CHUNK_BYTES = 65536
 FORWARDING_DELAY_S = 0.15
@@ -31,17 +32,38 @@
     Args:
         pid: Its id.
     """
-    inodes = set()
+    return _find_ports(_socket_inodes(pid), rb'[0-9A-F]{4}')
+
+
+def has_port(pids, port: int) -> bool:
+    """Returns whether a local TCP port belongs to one of some processes.
+
+    Args:
+        pids: Ids of the processes.
+        port: The port.
+    """
+    inodes = set().union(*map(_socket_inodes, pids))
+    return bool(_find_ports(inodes, b'%04X' % port))
+
+
+def _find_ports(inodes: set[int], pattern: bytes) -> set[int]:
+    """Returns those ports of sockets that match a pattern of hex digits."""
+    rows = re.findall(
+        rb':(%s) [0-9A-F]{8}:[0-9A-F]{4} (?:\S+ +){6}(\d+) ' % pattern,
+        pathlib.Path('/proc/net/tcp').read_bytes(),
+    )
+    return {int(port, 16) for port, inode in rows if int(inode) in inodes}
+
+
+def _socket_inodes(pid: int) -> set[int]:
+    found = set()
     with contextlib.suppress(OSError):
         for fd in os.scandir(f'/proc/{pid}/fd'):
             with contextlib.suppress(OSError):
-                inodes.add(os.readlink(fd.path))
-    ports = set()
-    for line in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]:
-        fields = line.split()
-        if f'socket:[{fields[9]}]' in inodes:
-            ports.add(int(fields[1].rpartition(':')[2], 16))
-    return ports
+                name = os.readlink(fd.path)
+                if name.startswith('socket:['):
+                    found.add(int(name[len('socket:[') : -1]))
+    return found
 
 
 class Proxy:
@@ -50,7 +72,7 @@
     Args:
         target: ``HOST:PORT`` to forward connections to.
         cut_pids: Ids of processes whose connections are reset; the owner
-            changes the set and calls ``reset_cut``.
+            changes the set and calls ``reset_ports``.
     """
 
     def __init__(self, target: str, cut_pids=frozenset()):
@@ -94,12 +116,19 @@
         else:
             self._passing.set()
 
-    def _cut_ports(self) -> set[int]:
-        return set().union(*map(local_ports, self._cut_pids))
+    async def _is_cut(self, writer) -> bool:
+        # A thread, since the table of sockets may take long to read.
+        pids = tuple(self._cut_pids)
+        return bool(pids) and await asyncio.to_thread(
+            has_port, pids, _peer_port(writer)
+        )
 
-    def reset_cut(self) -> None:
-        """Resets the open connections of processes that are cut off."""
-        ports = self._cut_ports()
+    def reset_ports(self, ports: set[int]) -> None:
+        """Resets the open connections of a process that is cut off.
+
+        Args:
+            ports: Local ports of the process.
+        """
         for writer in list(self._writers):
             if _peer_port(writer) in ports:
                 writer.transport.abort()
@@ -113,10 +142,7 @@
         self._tasks.add(task)
         self._writers.add(writer)
         try:
-            if (
-                self.mode is Mode.RESET
-                or _peer_port(writer) in self._cut_ports()
-            ):
+            if self.mode is Mode.RESET or await self._is_cut(writer):
                 writer.transport.abort()
                 return
             host, _, port = self._target.rpartition(':')
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -213,9 +213,10 @@
         """
         pid = process.proc.pid
         self.cut_pids.add(pid)
+        ports = await asyncio.to_thread(proxy.local_ports, pid)
         for runner in self.runners.values():
             if not runner.is_down:
-                runner.link.reset_cut()
+                runner.link.reset_ports(ports)
         await asyncio.sleep(duration_s)
         self.cut_pids.discard(pid)
 
