Soak: draw silent streams, full engines and short pauses

The soak missed the incident of cut streams: its streams lasted 60 ms, none fell silent, no engine was full, pauses were seldom, and a cut answer was an allowed outcome.

Streams now have 30 events in 1.2 s; one run in five is silent for 1.5 s in its middle; an engine holds six and refuses more with 503, Not-Executed and the request's id; node processes are paused for 0.05 to 1 s about every 1.2 s, and while two of them stop one after the other. The pauses are drawn apart, so that seeds keep their faults. Each is an option of python -m tests.soak and on by default. A stand-in notices that its client has gone.

The checker reports as a breach an answer that was cut although a run of it was complete or went on, undisturbed, before its deadline, unless its node had been killed, had come to its end or was cut off from the runners; and a cut answer without exactly one line request_ended with end=aborted or cancelled, unless its node was killed. A link that only delays excuses nothing.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,12 @@
     callers: int = 8,
     runs: int = 1,
     logs: str = '',
+    silence: bool = True,
+    places: int = 6,
+    pauses: bool = True,
+    faults: bool = True,
+    arrivals: float = 0.0,
+    pause_s: float = 0.0,
 ) -> None:
     """Runs soak tests and prints the promises that were broken.
 
@@ -29,17 +35,29 @@
         callers: Number of concurrent callers.
         runs: Number of runs, each with the next seed.
         logs: Directory for the node logs, a temporary one if empty.
+        silence: Whether one stream of five falls silent and goes on.
+        places: Streams that an engine holds at once, 0 for no limit.
+        pauses: Whether node processes are paused shortly and often.
+        faults: Whether all other faults are drawn.
+        arrivals: Streams a second that are sent beside the callers' requests.
+        pause_s: How long each node process is paused every 1.2 seconds,
+            instead of at drawn times.
     """
     broken = 0
+    load = world.Load(silence, places, pauses, faults, arrivals, pause_s)
     for number in range(seed, seed + runs):
         directory = pathlib.Path(logs or tempfile.mkdtemp(prefix='soak-'))
         directory = directory / f'seed-{number}'
         directory.mkdir(parents=True, exist_ok=True)
-        soak_world = world.World(number, nodes, directory)
+        soak_world = world.World(number, nodes, directory, load=load)
         breaches = asyncio.run(soak_world.run(seconds, callers))
         broken += bool(breaches)
         outcomes = dict(sorted(soak_world.checker.outcomes.items()))
-        print(f'seed {number}: {len(breaches)} breaches, {outcomes}')
+        cuts = len(soak_world.checker.cut_answers.cuts)
+        print(
+            f'seed {number}: {len(breaches)} breaches, {cuts} answers cut, '
+            f'{outcomes}'
+        )
         for breach in breaches:
             print(f'  {breach.promise}: {breach.detail}')
         if breaches:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,11 +5,13 @@
 import aiohttp
 
 from tests.platform import conftest
+from tests.soak import ledger
 from tests.soak import runners
 
 REQUEST_INTERVAL_S = 0.02
 REQUEST_TIMEOUT_S = 6.0
 DIRECTORY_TIMEOUT_S = 1.0
+DEADLINE_S = 4.0
 
 KINDS = ('safe', 'unsafe', 'stream', 'version')
 
@@ -61,7 +63,11 @@
             if kind == 'version'
             else (f'/{kind}/{token}')
         )
-        stream_headers = {'Model': 'm0', 'Token_Count': '10,10'}
+        more = {'Deadline_Ms': str(int(DEADLINE_S * 1000))}
+        if kind == 'stream':
+            more |= {'Model': 'm0', 'Token_Count': '10,10'}
+        now = asyncio.get_running_loop().time
+        sent_at = now()
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 answer = await conftest.send_request(
@@ -70,7 +76,7 @@
                     path,
                     method='GET' if kind in ('safe', 'version') else 'POST',
                     request_id=token,
-                    **(stream_headers if kind == 'stream' else {}),
+                    **more,
                 )
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             checker.outcomes[type(exc).__name__] += 1
@@ -83,6 +89,12 @@
             else runners.plain_body(token)
         )
         checker.check_answer(token, answer, expected)
+        if answer.status == 200 and not answer.is_whole:
+            checker.cut_answers.record_cut(
+                ledger.CutAnswer(
+                    token, address, sent_at, sent_at + DEADLINE_S, now()
+                )
+            )
         if kind == 'version' and answer.status == 200:
             checker.check_version(address, version, before)
         return answer.status == 200 and answer.is_whole
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,10 @@
 LIMIT_PER_S = 3.0
 CUT_SPACING_RANGE_S = (1.0, 5.0)
 CUT_DURATION_RANGE_S = (1.0, 5.0)
+PAUSE_SPACING_RANGE_S = (0.4, 2.0)
+PAUSE_DURATION_RANGE_S = (0.05, 1.0)
+ROLL_SPACING_RANGE_S = (2.0, 8.0)
+ROLL_PAUSE_DELAY_S = 0.1  # from SIGTERM of a process to its pause
 ALL_RUNNERS_EVERY = 3  # so many limits are named by all runners of a service
 LINK_MODES = (
     proxy.Mode.DELAY,
@@ -116,6 +120,46 @@
     return found
 
 
+def draw_pauses(rng, seconds: float) -> list[Fault]:
+    """Returns short pauses of node processes, alone and while they stop.
+
+    They are drawn apart from the other faults, which a seed keeps.
+
+    Args:
+        rng: Random generator.
+        seconds: Length of the run.
+    """
+    found = []
+    for kind, spacing_range_s in (
+        ('pause', PAUSE_SPACING_RANGE_S),
+        ('paused_roll', ROLL_SPACING_RANGE_S),
+    ):
+        at_s = rng.uniform(*spacing_range_s)
+        while at_s < seconds:
+            duration_s = rng.uniform(*PAUSE_DURATION_RANGE_S)
+            found.append(Fault(at_s, kind, rng.randrange(1000), duration_s))
+            at_s += rng.uniform(*spacing_range_s)
+    return found
+
+
+def regular_pauses(
+    processes: int, seconds: float, every_s: float, duration_s: float
+) -> list[Fault]:
+    """Returns pauses of every node process, one process after the other.
+
+    Args:
+        processes: Number of node processes.
+        seconds: Length of the run.
+        every_s: Seconds from one pause of a process to its next one.
+        duration_s: Seconds of a pause.
+    """
+    spacing_s = every_s / processes
+    return [
+        Fault(number * spacing_s, 'pause', number, duration_s)
+        for number in range(int(seconds / spacing_s))
+    ]
+
+
 class FaultInjector:
     """Injects faults into a soak.
 
@@ -167,6 +211,16 @@
             process.signal(signal.SIGCONT)
             self._soak.record_node_start()
 
+    async def _paused_roll(self, fault) -> None:
+        for step in range(2):
+            one = dataclasses.replace(fault, target=fault.target + step)
+            other = dataclasses.replace(one, target=one.target + 1)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._term(one))
+                group.create_task(self._pause(other))
+                await asyncio.sleep(ROLL_PAUSE_DELAY_S)
+                group.create_task(self._pause(one))
+
     async def _hup(self, fault) -> None:
         self._process(fault).signal(signal.SIGHUP)
 
@@ -187,9 +241,14 @@
 
     async def _runner_link(self, fault) -> None:
         runners = list(self._soak.runners.values())
-        await self._degrade_link(
-            runners[fault.target % len(runners)].link, fault
-        )
+        runner = runners[fault.target % len(runners)]
+        now = asyncio.get_running_loop().time
+        began_at = now()
+        await self._degrade_link(runner.link, fault)
+        if fault.mode is not proxy.Mode.DELAY:
+            self._soak.checker.cut_answers.record_disturbance(
+                runner.name, began_at, now()
+            )
 
     async def _degrade_link(self, link, fault) -> None:
         link.set_mode(fault.mode)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -2,6 +2,8 @@
 
 import collections
 import dataclasses
+import math
+import re
 
 
 # Of the platform's rule on limits: it holds so long after a runner has named
@@ -13,6 +15,7 @@
 # The rule excuses a node that has just started or woken up.
 REQUESTS_PER_START = 3
 START_EXCUSED_S = 3.0
+CUT_END_LABELS = ('aborted', 'cancelled')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,14 +26,212 @@
     detail: str
 
 
+@dataclasses.dataclass
+class Run:
+    """A run of a request at a runner, in seconds of the event loop.
+
+    It ends when the runner has sent all of the answer (``is_complete``) or
+    can't send any more.
+    """
+
+    runner: str
+    began_at: float
+    ended_at: float = math.inf
+    is_complete: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class CutAnswer:
+    """An answer with status 200 whose end its client did not see.
+
+    ``node`` is the address of the node process. Times are seconds of the event
+    loop; ``deadline`` is the earliest one that the node may have for it.
+    """
+
+    token: str
+    node: str
+    sent_at: float
+    deadline: float
+    cut_at: float
+
+
+@dataclasses.dataclass
+class NodeLog:
+    """What the log of a node says about the ends of requests.
+
+    ``ends`` holds the labels of ended requests, by request, ``relayed`` the
+    requests that were served through another node.
+    """
+
+    ends: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    relayed: set[str] = dataclasses.field(default_factory=set)
+
+
+def read_log(lines) -> NodeLog:
+    """Returns what a log says about the ends of requests.
+
+    Args:
+        lines: Its lines.
+    """
+    found = NodeLog()
+    for line in lines:
+        request = re.search(r' request=(\S+)', line)
+        if request is None:
+            continue
+        if 'event=request_relayed ' in line:
+            found.relayed.add(request[1])
+        elif 'event=request_ended ' in line:
+            end = re.search(r' end=(\S+)', line)
+            found.ends.setdefault(request[1], []).append(end[1] if end else '')
+    return found
+
+
+@dataclasses.dataclass(frozen=True)
+class _Window:
+    """Time in which something can't be relied upon."""
+
+    name: str
+    began_at: float
+    ended_at: float
+
+    def overlaps(self, since: float, until: float) -> bool:
+        return self.began_at <= until and since <= self.ended_at
+
+
+class CutAnswerChecker:
+    """Finds answers that were cut although nothing had ended them.
+
+    An answer may be cut at its deadline, by a kill or the end of its node, and
+    while its node is cut off from the runners; one that was served through
+    another node also by these of any node. Otherwise it is a breach if a run
+    that no fault disturbed was complete, or was the last of its runs to end.
+    """
+
+    def __init__(self):
+        self._runs: dict[str, list[Run]] = {}
+        self.cuts: list[CutAnswer] = []
+        self._disturbances: list[_Window] = []
+        self._node_ends: list[_Window] = []
+        self._killed: set[str] = set()
+
+    def record_run(self, token: str, run: Run) -> None:
+        """Records that a run has begun; its owner records its end in it.
+
+        Args:
+            token: Unique id of the request.
+            run: The run.
+        """
+        self._runs.setdefault(token, []).append(run)
+
+    def record_cut(self, cut: CutAnswer) -> None:
+        """Records that a client saw an answer cut.
+
+        Args:
+            cut: The answer.
+        """
+        self.cuts.append(cut)
+
+    def record_disturbance(
+        self, runner: str, began_at: float, ended_at: float
+    ) -> None:
+        """Records that a runner was down or not reached for some time.
+
+        Args:
+            runner: Name of the runner.
+            began_at: Seconds of the event loop.
+            ended_at: Seconds of the event loop.
+        """
+        self._disturbances.append(_Window(runner, began_at, ended_at))
+
+    def record_node_kill(self, node: str, at: float) -> None:
+        """Records that a node process is killed.
+
+        Args:
+            node: Address of the node process.
+            at: Seconds of the event loop.
+        """
+        self._killed.add(node)
+        self.record_node_end(node, at)
+
+    def record_node_end(
+        self, node: str, at: float, until: float = math.inf
+    ) -> None:
+        """Records from when on a node may cut its answers.
+
+        Args:
+            node: Address of the node process.
+            at: Seconds of the event loop.
+            until: Seconds until which it may, without end by default.
+        """
+        self._node_ends.append(_Window(node, at, until))
+
+    def find_breaches(self, logs) -> list[Breach]:
+        """Compares the answers that were cut with runs and logs.
+
+        Args:
+            logs: ``NodeLog`` of each node process, by its address; ``None``
+                if none was kept.
+
+        Returns:
+            The breaches.
+        """
+        found = []
+        for cut in self.cuts:
+            log = (logs or {}).get(cut.node, NodeLog())
+            run = self._find_reliable_run(cut)
+            if run is not None and not self._is_excused(cut, log):
+                found.append(
+                    Breach(
+                        'goes on',
+                        f'{cut.token}: cut by {cut.node} after '
+                        f'{cut.cut_at - cut.sent_at:.2f} s, {run}',
+                    )
+                )
+            if logs is None or cut.node in self._killed:
+                continue
+            ends = log.ends.get(cut.token, [])
+            if len(ends) != 1 or ends[0] not in CUT_END_LABELS:
+                found.append(
+                    Breach(
+                        'logged end', f'{cut.token}: cut by {cut.node}, {ends}'
+                    )
+                )
+        return found
+
+    def _is_excused(self, cut, log) -> bool:
+        return cut.cut_at >= cut.deadline or any(
+            window.overlaps(cut.sent_at, cut.cut_at)
+            for window in self._node_ends
+            if window.name == cut.node or cut.token in log.relayed
+        )
+
+    def _find_reliable_run(self, cut) -> Run | None:
+        """Returns a run that could have served the whole answer."""
+        runs = self._runs.get(cut.token, ())
+        reliable = [run for run in runs if not self._is_disturbed(run, cut)]
+        for run in reliable:
+            if run.is_complete:
+                return run
+        last = max(runs, key=lambda run: run.ended_at, default=None)
+        return last if last in reliable else None
+
+    def _is_disturbed(self, run, cut) -> bool:
+        until = min(run.ended_at, cut.cut_at)
+        return any(
+            window.name == run.runner and window.overlaps(run.began_at, until)
+            for window in self._disturbances
+        )
+
+
 class PromiseChecker:
     """Collects observations of callers and runners and finds breaches.
 
     Most promises are checked at once; those that need both sides are
-    checked by ``finish``.
+    checked by ``finish``. ``cut_answers`` checks answers that were cut.
     """
 
     def __init__(self):
+        self.cut_answers = CutAnswerChecker()
         self.breaches: list[Breach] = []
         self.outcomes: collections.Counter = collections.Counter()
         self._runs: collections.Counter = collections.Counter()
@@ -49,13 +250,21 @@
         """
         self._at_most_once.add(token)
 
-    def record_run(self, token: str) -> None:
+    def record_run(self, token: str, runner: str = '', at: float = 0.0) -> Run:
         """Records that a runner has begun to execute a request.
 
         Args:
             token: Unique id of the request.
+            runner: Name of the runner.
+            at: Seconds of the event loop.
+
+        Returns:
+            The run, whose end the runner records in it.
         """
         self._runs[token] += 1
+        run = Run(runner, at)
+        self.cut_answers.record_run(token, run)
+        return run
 
     def check_answer(self, token: str, answer, expected: bytes) -> None:
         """Compares an answer with the expected one and records its outcome.
@@ -211,9 +420,13 @@
         if not served:
             self._add_breach('serves again', kind)
 
-    def finish(self) -> list[Breach]:
+    def finish(self, logs=None) -> list[Breach]:
         """Compares callers and runners when no request is in progress.
 
+        Args:
+            logs: ``NodeLog`` of each node process, by its address; ``None``
+                if none was kept.
+
         Returns:
             All breaches of the run.
         """
@@ -227,6 +440,7 @@
                 self._add_breach(
                     'true refusal', f'{token}: {self._runs[token]}'
                 )
+        self.breaches += self.cut_answers.find_breaches(logs)
         return self.breaches
 
     def _add_breach(self, promise: str, detail: str) -> None:
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -1,11 +1,18 @@
 """Runner stand-ins whose answers contain the id of their request."""
 
 import asyncio
+import contextlib
+import zlib
 
 from tests.platform import runner_standin
 from tests.soak import proxy
 
-EVENTS_PER_STREAM = 6
+EVENTS_PER_STREAM = 30
+EVENT_INTERVAL_S = 0.04
+SILENCE_S = 1.5
+SILENT_EVERY = 5  # one run of so many falls silent
+SILENT_AFTER = EVENTS_PER_STREAM // 2
+POLL_S = 0.02
 JOIN_DELAY_S = 0.15
 OPEN_DELAY_S = 0.05
 MODEL_SIZE = 2
@@ -41,6 +48,16 @@
     )
 
 
+def falls_silent(token: str, runner: str) -> bool:
+    """Returns whether a stream falls silent in its middle at a runner.
+
+    Args:
+        token: Unique id of the request.
+        runner: Name of the runner.
+    """
+    return zlib.crc32(f'{token} {runner}'.encode()) % SILENT_EVERY == 0
+
+
 class Runner(runner_standin.RunnerStandIn):
     """A runner behind a proxy that reports its requests to the checker.
 
@@ -48,10 +65,26 @@
         checker: Receives executed requests and changes of groups.
         fleet: All runners by name.
         cut_pids: Ids of node processes that are cut off from all runners.
+        places: Streams that run at once; further ones are refused. 0 for no
+            limit.
+        has_silence: Whether some streams fall silent and go on.
     """
 
-    def __init__(self, name, service, store, checker, fleet, cut_pids):
+    def __init__(
+        self,
+        name,
+        service,
+        store,
+        checker,
+        fleet,
+        cut_pids,
+        places: int = 0,
+        has_silence: bool = False,
+    ):
         super().__init__(name, service, store)
+        self._places = places
+        self._has_silence = has_silence
+        self._running = 0
         self._cut_pids = cut_pids
         self.checker = checker
         self.fleet = fleet
@@ -143,9 +176,10 @@
         headers = self._named(headers)
         if self.service == 'plain':
             self.checker.record_arrival(self.name, seen.at)
-            self.checker.record_run(token)
-            await asyncio.sleep(runner_standin.EVENT_S)
-            runner_standin._send(writer, 200, headers, plain_body(token))
+            with self._recorded(token) as run:
+                await asyncio.sleep(runner_standin.EVENT_S)
+                runner_standin._send(writer, 200, headers, plain_body(token))
+                run.is_complete = True
             return
         if not self._serves():
             runner_standin._send(
@@ -153,19 +187,55 @@
             )
             return
         self.checker.record_arrival(self.name, seen.at)
-        self.checker.record_run(token)
+        if self._places and self._running >= self._places:
+            self._refuse(writer, request_id)
+            return
         self.checker.check_group_run(
             self.members, self.group['name'], self.group['epoch'], MODEL_SIZE
         )
-        await self._stream_token(writer, seen, headers, token)
-
-    async def _stream_token(self, writer, seen, headers, token) -> None:
+        self._running += 1
+        try:
+            with self._recorded(token) as run:
+                await self._stream_token(reader, writer, seen, headers, token)
+                run.is_complete = True
+        finally:
+            self._running -= 1
+
+    @contextlib.contextmanager
+    def _recorded(self, token):
+        """Records a run of a request from its beginning to its end."""
+        now = asyncio.get_running_loop().time
+        run = self.checker.record_run(token, self.name, now())
+        try:
+            yield run
+        finally:
+            run.ended_at = now()
+
+    async def _stream_token(
+        self, reader, writer, seen, headers, token
+    ) -> None:
         headers.append(('Content-Type', 'text/event-stream'))
         headers.append(('Transfer-Encoding', 'chunked'))
         runner_standin._send(writer, 200, headers, b'', framed=False)
         first = int(seen.headers.get('last-event-id', 0)) + 1
+        is_silent = self._has_silence and falls_silent(token, self.name)
         for number in range(first, EVENTS_PER_STREAM + 1):
             runner_standin._chunk(writer, stream_event(token, number))
             await writer.drain()
-            await asyncio.sleep(runner_standin.EVENT_S)
+            await self._sleep(reader, writer, EVENT_INTERVAL_S)
+            if is_silent and number == SILENT_AFTER:
+                await self._sleep(reader, writer, SILENCE_S)
         writer.write(b'0\r\n\r\n')
+
+    async def _sleep(self, reader, writer, duration_s: float) -> None:
+        """Waits while the client keeps the connection open.
+
+        Raises:
+            ConnectionError: If it closes the connection.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + duration_s
+        while (left_s := until - loop.time()) > 0.0:
+            if reader.at_eof() or writer.is_closing():
+                raise ConnectionError('closed by the client')
+            await asyncio.sleep(min(left_s, POLL_S))
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -1,6 +1,7 @@
 """Tests that the checker of the soak reports each broken promise."""
 
 import dataclasses
+import math
 
 import pytest
 
@@ -107,3 +108,185 @@
     checker.check_stop('n1', 4.9, 5.0)
     checker.check_recovery('safe', True)
     assert checker.finish() == []
+
+
+def _cut(answers, token='t1', cut_at=3.0):
+    answers.record_cut(ledger.CutAnswer(token, 'n1', 1.0, 5.0, cut_at))
+
+
+def _run(answers, runner, ended_at, is_complete=False, began_at=1.1):
+    answers.record_run(
+        't1', ledger.Run(runner, began_at, ended_at, is_complete)
+    )
+
+
+def _node_closed_it(answers):
+    _run(answers, 'e1', 2.9)
+
+
+def _runner_had_sent_all(answers):
+    _run(answers, 'e1', 2.5, is_complete=True)
+
+
+def _runner_went_on(answers):
+    _run(answers, 'e1', math.inf)
+
+
+def _other_attempt_broke(answers):
+    _run(answers, 'e2', 2.6, began_at=2.0)
+    answers.record_disturbance('e2', 2.5, 3.5)
+    _run(answers, 'e1', 2.9)
+
+
+def _fault_came_earlier(answers):
+    answers.record_disturbance('e1', 0.2, 1.0)
+    _run(answers, 'e1', 2.9)
+
+
+def _fault_came_later(answers):
+    answers.record_disturbance('e1', 3.1, 4.0)
+    _run(answers, 'e1', math.inf)
+
+
+def _fault_of_another_runner(answers):
+    answers.record_disturbance('e2', 1.0, 4.0)
+    _run(answers, 'e1', 2.9)
+
+
+def _sigterm_before_the_end(answers):
+    answers.record_node_end('n1', 3.5)
+    _run(answers, 'e1', 2.9)
+
+
+def _another_node_was_killed(answers):
+    answers.record_node_kill('n2', 2.0)
+    _run(answers, 'e1', 2.9)
+
+
+def _cut_off_before(answers):
+    answers.record_node_end('n1', 0.1, 0.9)
+    _run(answers, 'e1', 2.9)
+
+
+@pytest.mark.parametrize(
+    'observe',
+    [
+        _node_closed_it,
+        _runner_had_sent_all,
+        _runner_went_on,
+        _other_attempt_broke,
+        _fault_came_earlier,
+        _fault_came_later,
+        _fault_of_another_runner,
+        _sigterm_before_the_end,
+        _another_node_was_killed,
+        _cut_off_before,
+    ],
+)
+def test_answer_cut_while_its_runner_goes_on_is_a_breach(observe):
+    """Guards against a soak that takes cut answers for allowed (LOST)."""
+    checker = ledger.PromiseChecker()
+    observe(checker.cut_answers)
+    _cut(checker.cut_answers)
+    assert [found.promise for found in checker.finish()] == ['goes on']
+
+
+def _deadline(answers):
+    _run(answers, 'e1', 5.0)
+    return 5.0
+
+
+def _node_killed(answers):
+    answers.record_node_kill('n1', 2.8)
+    _run(answers, 'e1', 2.9)
+
+
+def _node_ended(answers):
+    answers.record_node_end('n1', 2.8)
+    _run(answers, 'e1', 2.9)
+
+
+def _node_cut_off(answers):
+    answers.record_node_end('n1', 0.5, 2.0)
+    _run(answers, 'e1', 2.9)
+
+
+def _relaying_node_killed(answers):
+    answers.record_node_kill('n2', 2.8)
+    _run(answers, 'e1', 2.9)
+
+
+def _runner_broke(answers):
+    answers.record_disturbance('e1', 2.8, 4.0)
+    _run(answers, 'e1', 2.9)
+
+
+def _runner_of_a_takeover_broke(answers):
+    _run(answers, 'e1', 2.0)
+    answers.record_disturbance('e2', 2.8, 4.0)
+    _run(answers, 'e2', 2.9, began_at=1.5)
+
+
+@pytest.mark.parametrize(
+    'observe, relayed',
+    [
+        (lambda answers: None, ()),
+        (_deadline, ()),
+        (_node_killed, ()),
+        (_node_ended, ()),
+        (_node_cut_off, ()),
+        (_relaying_node_killed, ('t1',)),
+        (_runner_broke, ()),
+        (_runner_of_a_takeover_broke, ()),
+    ],
+)
+def test_answer_whose_run_was_ended_may_be_cut(observe, relayed):
+    """A cut that a fault, the deadline or the node's end explains."""
+    checker = ledger.PromiseChecker()
+    _cut(checker.cut_answers, cut_at=observe(checker.cut_answers) or 3.0)
+    log = ledger.NodeLog({'t1': ['aborted']}, set(relayed))
+    assert checker.finish({'n1': log}) == []
+
+
+@pytest.mark.parametrize(
+    'lines, killed, promises',
+    [
+        (['aborted'], '', []),
+        (['cancelled'], '', []),
+        (['served'], '', ['logged end']),
+        ([], '', ['logged end']),
+        (['aborted', 'aborted'], '', ['logged end']),
+        (['aborted', 'served'], '', ['logged end']),
+        ([], 'n1', []),
+        (['served'], 'n1', []),
+        (['served'], 'n2', ['logged end']),
+    ],
+)
+def test_cut_answer_has_one_line_that_says_so(lines, killed, promises):
+    """Guards against logs that hide answers that were cut off."""
+    checker = ledger.PromiseChecker()
+    _cut(checker.cut_answers)
+    if killed:
+        checker.cut_answers.record_node_kill(killed, 4.0)
+    log = ledger.read_log(
+        [
+            f'x event=request_ended request=t1 end={end} at_ms=1'
+            for end in lines
+        ]
+        + ['x event=request_ended request=t2 end=served at_ms=1']
+    )
+    found = checker.finish({'n1': log})
+    assert [breach.promise for breach in found] == promises
+
+
+def test_log_names_relayed_requests_and_ends():
+    """Lines on other events and lines without a request are passed over."""
+    log = ledger.read_log(
+        [
+            'x event=request_relayed request=t1 node=n2 max_runs=1',
+            'x event=request_ended request=t1 route=r end=aborted at_ms=1',
+            'x event=attempt_failed request=t1 end=broken',
+            'x event=request_ended',
+        ]
+    )
+    assert log == ledger.NodeLog({'t1': ['aborted']}, {'t1'})
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,26 @@
     assert soak_world.checker.outcomes['200'] > 0
 
 
+@pytest.mark.parametrize(
+    'load',
+    [
+        world.Load(has_faults=False, has_pauses=False, arrivals_per_s=16.0),
+        world.Load(
+            has_faults=False,
+            has_silence=False,
+            arrivals_per_s=16.0,
+            pause_s=0.35,
+        ),
+    ],
+    ids=['silent', 'paused'],
+)
+async def test_begun_streams_are_not_cut(load, tmp_path):
+    """Guards against begun answers that end for a silence (LOST)."""
+    soak_world = world.World(1, 3, tmp_path, is_timed=False, load=load)
+    assert await soak_world.run(SECONDS, 0) == []
+    assert soak_world.checker.outcomes['200'] > 0
+
+
 @pytest.mark.parametrize('targets', [(0,), (2,), (0, 1)])
 async def test_cut_off_processes_serve_through_others(tmp_path, targets):
     """With the first process, which leads, a follower, or all but one."""
@@ -38,6 +58,7 @@
         faults.draw_faults(random.Random(s), 30.0)
         + faults.draw_limits(random.Random(s), 30.0)
         + faults.draw_cuts(random.Random(s), 30.0)
+        + faults.draw_pauses(random.Random(s), 30.0)
         for s in (seed, seed, seed + 1)
     )
     assert first == again != other
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 import random
 import signal
@@ -20,6 +21,7 @@
 
 STOP_LIMIT_S = 4.0
 STOP_MARGIN_S = 1.0  # for signal delivery and process exit
+CLOSE_MARGIN_S = 0.3  # of a node, for closing its sockets
 ENTRY_LAPSE_S = 0.6  # until the entry of a crashed runner is removed
 RECOVERY_S = 15.0
 UNTIMED_RECOVERY_S = 120.0  # without bounds on time
@@ -29,6 +31,25 @@
 PLAIN_RUNNERS = 2
 
 
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What the runners and callers of a run do, and which faults are drawn.
+
+    ``places`` is the number of streams that an engine holds, 0 for no limit;
+    ``arrivals_per_s`` streams are sent whatever the callers wait for. With
+    ``pause_s``, each node process is paused that long every ``pause_every_s``
+    seconds, and none at drawn times.
+    """
+
+    has_silence: bool = True
+    places: int = 6
+    has_pauses: bool = True
+    has_faults: bool = True
+    arrivals_per_s: float = 0.0
+    pause_s: float = 0.0
+    pause_every_s: float = 1.2
+
+
 class NodeProcess(processes.Process):
     """A node process that can be restarted.
 
@@ -68,6 +89,7 @@
         nodes: Number of node processes.
         directory: Directory for settings and logs of the nodes.
         is_timed: Whether stop and recovery times are checked.
+        load: Load and kinds of faults.
     """
 
     def __init__(
@@ -76,12 +98,15 @@
         nodes: int,
         directory: pathlib.Path,
         is_timed: bool = True,
+        load: Load = Load(),
     ):
         self._seed = seed
         self._rng = random.Random(seed)
         self._directory = directory
         self._node_count = nodes
         self._is_timed = is_timed
+        self._load = load
+        self._by_address: dict[str, NodeProcess] = {}
         self._recovery_s = RECOVERY_S if is_timed else UNTIMED_RECOVERY_S
         self.checker = ledger.PromiseChecker()
         self.version = 3
@@ -112,18 +137,42 @@
                 asyncio.ensure_future(self._send_requests(number))
                 for number in range(callers_count)
             ]
-            if drawn is None:
-                drawn = (
-                    faults.draw_faults(self._rng, seconds)
-                    + faults.draw_limits(random.Random(self._seed), seconds)
-                    + faults.draw_cuts(random.Random(self._seed), seconds)
+            if self._load.arrivals_per_s:
+                caller_tasks.append(
+                    asyncio.ensure_future(self._send_arrivals(callers_count))
                 )
-            await faults.FaultInjector(self).run(drawn)
+            if drawn is None:
+                drawn = self._draw(seconds)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(asyncio.sleep(seconds))
+                group.create_task(faults.FaultInjector(self).run(drawn))
             self._stopping = True
             await asyncio.gather(*caller_tasks)
             await self._check_recovery()
             await asyncio.sleep(DRAIN_WAIT_S)
-        return self.checker.finish()
+        logs = {
+            address: ledger.read_log(process.lines)
+            for address, process in self._by_address.items()
+        }
+        return self.checker.finish(logs)
+
+    def _draw(self, seconds: float) -> list:
+        """Returns the faults of the seed."""
+        found = []
+        if self._load.has_faults:
+            found += faults.draw_faults(self._rng, seconds)
+            found += faults.draw_limits(random.Random(self._seed), seconds)
+            found += faults.draw_cuts(random.Random(self._seed), seconds)
+        if self._load.pause_s:
+            found += faults.regular_pauses(
+                self._node_count,
+                seconds,
+                self._load.pause_every_s,
+                self._load.pause_s,
+            )
+        elif self._load.has_pauses:
+            found += faults.draw_pauses(random.Random(self._seed), seconds)
+        return found
 
     async def _start(self, stack) -> None:
         await self.store.start()
@@ -143,6 +192,8 @@
                 self.checker,
                 self.runners,
                 self.cut_pids,
+                self._load.places,
+                self._load.has_silence,
             )
             runner.domain = domain
             self.runners[name] = runner
@@ -156,6 +207,7 @@
             self.processes.append(process)
             stack.push_async_callback(self._shut_down, process)
             await process.start()
+            self._by_address[process.addresses['caller']] = process
 
     async def _shut_down(self, process) -> None:
         async with process.restart_lock:
@@ -185,6 +237,7 @@
                 return
             sent_at = time.monotonic()
             process.signal(signal.SIGCONT)
+            self._record_stop(process, number)
             await process.stop(number)
             if number == signal.SIGTERM and self._is_timed:
                 self.checker.check_stop(
@@ -193,6 +246,16 @@
                     STOP_LIMIT_S + STOP_MARGIN_S,
                 )
 
+    def _record_stop(self, process, number) -> None:
+        """Tells the checker from when on a process may cut its answers."""
+        node, now = process.addresses['caller'], _loop_time()
+        if number == signal.SIGTERM:
+            self.checker.cut_answers.record_node_end(
+                node, now + STOP_LIMIT_S - CLOSE_MARGIN_S
+            )
+        else:
+            self.checker.cut_answers.record_node_kill(node, now)
+
     async def restart_process(self, process) -> None:
         """Starts a node process if it is not running.
 
@@ -202,6 +265,7 @@
         async with process.restart_lock:
             if process.proc.returncode is not None:
                 await process.start()
+                self._by_address[process.addresses['caller']] = process
                 self.record_node_start()
 
     async def cut_off(self, process, duration_s: float) -> None:
@@ -211,7 +275,8 @@
             process: Node process; a later one of it is not cut off.
             duration_s: Seconds.
         """
-        pid = process.proc.pid
+        pid, node = process.proc.pid, process.addresses['caller']
+        began_at = _loop_time()
         self.cut_pids.add(pid)
         ports = await asyncio.to_thread(proxy.local_ports, pid)
         for runner in self.runners.values():
@@ -219,6 +284,7 @@
                 runner.link.reset_ports(ports)
         await asyncio.sleep(duration_s)
         self.cut_pids.discard(pid)
+        self.checker.cut_answers.record_node_end(node, began_at, _loop_time())
 
     def record_node_start(self) -> None:
         """Tells the checker that a node has started or goes on."""
@@ -234,6 +300,7 @@
         if runner.is_down:
             return
         runner.is_down = True
+        began_at = _loop_time()
         await runner.stop()
         await asyncio.sleep(ENTRY_LAPSE_S)
         self.store.put('servers', runner.name, None)
@@ -241,6 +308,9 @@
         runner.reset()
         await runner.start()
         runner.is_down = False
+        self.checker.cut_answers.record_disturbance(
+            runner.name, began_at, _loop_time()
+        )
 
     async def _send_requests(self, number: int) -> None:
         caller = callers.Caller(
@@ -251,6 +321,23 @@
                 await caller.ask(session, caller.draw_kind())
                 await asyncio.sleep(callers.REQUEST_INTERVAL_S)
 
+    async def _send_arrivals(self, number: int) -> None:
+        """Sends streams at a fixed rate."""
+        caller = callers.Caller(
+            number, self, random.Random(self._rng.random())
+        )
+        tasks = []
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector, auto_decompress=False
+        ) as session:
+            while not self._stopping:
+                tasks.append(
+                    asyncio.ensure_future(caller.ask(session, 'stream'))
+                )
+                await asyncio.sleep(1.0 / self._load.arrivals_per_s)
+            await asyncio.gather(*tasks)
+
     async def _wait_until_all_kinds_served(self) -> dict[str, bool]:
         """Probes until each kind of request is served or time runs out.
 
@@ -277,3 +364,7 @@
             await self._wait_until_all_kinds_served()
         ).items():
             self.checker.check_recovery(kind, served)
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
