--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -853,7 +853,7 @@
         '        if state.is_started:\n'
         '            state.sink.abort(state.reason)\n',
         '        if False:\n            state.sink.abort(state.reason)\n',
-        'tests/platform/test_answer_ends.py',
+        'tests/platform/test_end_labels.py',
     ),
     Mutant(
         'a stream that a relay began counts as begun',
