Send no requests to evacuated failure domains

Cause: nodes ignored rows evacuate/ZONE in the configuration table. Change: PlatformView derives the evacuated zones from the rows; the registry leaves their upstreams out of find_open_heads and the new find_available. The zone is checked again after the last wait before a send, and waiting requests are dispatched again when the set changes. A row that the store lost in a restore stays in force until the feed shows its removal, and reaches nodes that start later even if the leader's table is older than theirs.

--- a/plantainway/deployment/_upstreams.py
+++ b/plantainway/deployment/_upstreams.py
@@ -73,9 +73,11 @@
     Attributes:
         by_name: Upstreams by name.
         version: Version of the store that the contents are as of.
+        evacuated_zones: Failure domains to which nothing is sent.
     """
 
     def __init__(self):
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.by_name: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] | None = None
         self.version = 0
@@ -118,10 +120,40 @@
                 self._by_service.setdefault(item.service, []).append(item)
         return self._by_service.get(service, [])
 
+    def set_evacuated(self, zones) -> None:
+        """Sets the failure domains to which nothing is sent.
+
+        Args:
+            zones: Names of the failure domains; unknown ones have no effect.
+        """
+        self.evacuated_zones = frozenset(zones)
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Returns whether an upstream is in an evacuated failure domain.
+
+        Args:
+            upstream: The upstream.
+        """
+        return upstream.zone in self.evacuated_zones
+
+    def find_available(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that may get new requests.
+
+        Draining ones and those in evacuated failure domains are left out.
+
+        Args:
+            service: Name of the service.
+        """
+        return [
+            item
+            for item in self.find_by_service(service)
+            if not item.draining and not self.is_evacuated(item)
+        ]
+
     def find_open_heads(self, service: str, model: str) -> list[Upstream]:
         """Returns the heads that accept requests for a model.
 
-        Draining heads are left out.
+        Draining heads and those in evacuated failure domains are left out.
 
         Args:
             service: Name of the service.
@@ -129,10 +161,8 @@
         """
         return [
             item
-            for item in self.find_by_service(service)
-            if item.is_open_head
-            and not item.draining
-            and item.membership.model == model
+            for item in self.find_available(service)
+            if item.is_open_head and item.membership.model == model
         ]
 
 
--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -22,6 +22,11 @@
             ('configuration', 'Version in force', state['configuration']),
             ('nodes', 'Nodes known', len(state['nodes'])),
             ('upstreams', 'Upstreams known', state['upstreams']),
+            (
+                'evacuated_zones',
+                'Failure domains to which nothing is sent',
+                len(state['evacuated_zones']),
+            ),
             (
                 'quarantined_parts',
                 'Parts of prompts that are refused or on probation',
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -557,6 +557,7 @@
             'term': self._leadership.term,
             'configuration': cfg.version if cfg else 0,
             'upstreams': len(self._view.book.by_name),
+            'evacuated_zones': sorted(self._view.evacuated_zones),
             'ages_s': {
                 item.name: round(item.age_s(), 3)
                 for item in self._view.tables
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -26,7 +26,8 @@
         on_group_changed: Called with the name of each upstream that is new
             or whose group membership changes, before the upstream book is
             updated.
-        on_upstreams_changed: Called after each update of the upstream book.
+        on_upstreams_changed: Called after each update of the upstream book,
+            and when the evacuated failure domains change.
     """
 
     def __init__(self, clock):
@@ -36,10 +37,12 @@
             platform.CONFIG_TABLE,
             clock,
             ranks={platform.CONFIG_KEY: platform.configuration_version},
+            is_lost=platform.is_lost_evacuation,
         )
         self.upstream_table = cluster.TableCache(
             platform.UPSTREAM_TABLE, clock, defers_removals=True
         )
+        self.config_table.on_change.append(self._apply_evacuations)
         self.config_table.on_change.append(self._apply_configuration)
         self.upstream_table.on_change.append(self._apply_upstreams)
         self._leaving: dict[str, int] = {}  # start times by name
@@ -58,6 +61,11 @@
         """Returns whether a configuration and the upstreams are loaded."""
         return self.configuration is not None and self.upstream_table.is_loaded
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Returns the failure domains to which nothing is sent."""
+        return self.book.evacuated_zones
+
     def upstreams_as_of(self) -> float:
         """Returns the monotonic time at which the upstreams were current."""
         return self.upstream_table.current_as_of
@@ -142,6 +150,21 @@
         for listener in self.on_upstreams_changed:
             listener()
 
+    def _apply_evacuations(self, _changed, _removed) -> None:
+        zones = {
+            platform.evacuated_zone(key) for key in self.config_table.rows
+        } - {None}
+        known = self.evacuated_zones
+        if zones == known:
+            return
+        self.book.set_evacuated(zones)
+        for zone in sorted(zones - known):
+            logs.event('evacuation_begun', zone=zone)
+        for zone in sorted(known - zones):
+            logs.event('evacuation_ended', zone=zone)
+        for listener in self.on_upstreams_changed:
+            listener()
+
     def _apply_configuration(self, _changed, _removed) -> None:
         row = self.config_table.rows.get(platform.CONFIG_KEY)
         if row is None:
--- a/plantainway/platform/_messages.py
+++ b/plantainway/platform/_messages.py
@@ -9,6 +9,7 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway import logs
+from plantainway.platform import _names
 
 
 class _Body(pydantic.BaseModel):
@@ -333,6 +334,22 @@
     )
 
 
+def evacuated_zone(key: str) -> str | None:
+    """Returns the failure domain that a row asks to evacuate.
+
+    The presence of the row counts, whatever its value.
+
+    Args:
+        key: Key of a row in the configuration table.
+
+    Returns:
+        The failure domain, ``None`` for any other row.
+    """
+    if not key.startswith(_names.EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(_names.EVACUATION_PREFIX) or None
+
+
 def decode_report(body: bytes) -> deployment.EngineReport:
     """Decodes the report of an engine on its own state.
 
--- a/plantainway/platform/_names.py
+++ b/plantainway/platform/_names.py
@@ -29,6 +29,8 @@
 
 CONFIG_TABLE = 'op'
 CONFIG_KEY = 'config'
+# Of the rows of the same table that ask to evacuate a failure domain.
+EVACUATION_PREFIX = 'evacuate/'
 UPSTREAM_TABLE = 'servers'
 
 FEED_PATH = '/plantainway/rows-feed'
--- a/plantainway/platform/_store.py
+++ b/plantainway/platform/_store.py
@@ -334,6 +334,23 @@
         )
 
 
+def is_lost_evacuation(key: str, known_version: int, version: int) -> bool:
+    """Returns whether an evacuation was lost when the store was restored.
+
+    The operator, who was told that the row is stored, has not removed it. A
+    row of the store's current era that is missing was removed.
+
+    Args:
+        key: Key of a row in the configuration table.
+        known_version: Version of the row as this node knows it.
+        version: Version of a snapshot that lacks the row.
+    """
+    return (
+        _messages.evacuated_zone(key) is not None
+        and known_version >> ERA_SHIFT < version >> ERA_SHIFT
+    )
+
+
 def _row_address(key: str) -> dict:
     return {'table': PROJECT_TABLE, 'part': '', 'key': key}
 
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -139,8 +139,7 @@
         pause_s = min(
             (
                 deps.pauses.remaining_s(item.name)
-                for item in deps.upstreams.find_by_service(state.service)
-                if not item.draining
+                for item in deps.upstreams.find_available(state.service)
             ),
             default=0.0,
         )
@@ -269,9 +268,7 @@
             self._log_denied()
             return None  # a permit is taken for what is sent only
         try:
-            return await self._choice.choose(
-                state.service, candidates, state.tried_names, state.wait_until
-            )
+            return await self._choose_among(candidates)
         except errors.NotRunError as exc:
             remaining_s = state.req.deadline - deps.clock.now()
             state.refusal = _types.Response(
@@ -283,6 +280,25 @@
             )
             return None
 
+    async def _choose_among(self, candidates):
+        """Returns the upstream to send to, ``None`` if there is none.
+
+        Its failure domain may be evacuated while the request waits for a
+        permit; the choice is then made anew.
+
+        Raises:
+            NotRunError: If there is no permit in time.
+        """
+        deps, state = self._deps, self._state
+        while candidates:
+            chosen = await self._choice.choose(
+                state.service, candidates, state.tried_names, state.wait_until
+            )
+            if not deps.upstreams.is_evacuated(chosen):
+                return chosen
+            candidates = self._find_candidates()
+        return None
+
     def _find_candidates(self) -> list:
         """Returns upstreams to choose from.
 
@@ -541,12 +557,11 @@
         return self._deps.health.exclude_ejected(active)
 
     def _active(self, service: str, tried_names) -> list:
-        """Returns upstreams neither tried, draining nor pausing."""
+        """Returns available upstreams neither tried nor pausing."""
         return [
             item
-            for item in self._deps.upstreams.find_by_service(service)
-            if not item.draining
-            and item.name not in tried_names
+            for item in self._deps.upstreams.find_available(service)
+            if item.name not in tried_names
             and not self._deps.pauses.remaining_s(item.name)
         ]
 
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -303,7 +303,8 @@
         """Reserves capacity, unless engines crash on the prompt.
 
         That may become known while the request waits, and this node may
-        begin to stop.
+        begin to stop. A head whose failure domain is evacuated meanwhile is
+        given back for another one.
 
         Raises:
             NotRunError: If a part of the prompt is quarantined, if the stream
@@ -312,6 +313,9 @@
         ensure_allowed = self._deps.quarantine.ensure_allowed
         ensure_allowed(state.req.crash_keys)
         reservation = await self._reserve_in_time(state)
+        while self._deps.upstreams.is_evacuated(reservation.head):
+            self._deps.heads.release(reservation)
+            reservation = await self._reserve_in_time(state)
         try:
             ensure_allowed(state.req.crash_keys)
             self._ensure_ends_in_time(state)
--- /dev/null
+++ b/tests/edge/test_evacuation.py
@@ -0,0 +1,119 @@
+"""Tests of the rows that ask to evacuate failure domains."""
+
+import json
+
+import pytest
+
+from plantainway import clock as clocks
+from plantainway.edge import _view
+from plantainway import stores
+
+ERA = 1 << 44  # versions of the next era of the store begin here
+
+
+def _entry(zone):
+    return json.dumps(
+        {
+            'service': 's',
+            'address': '10.0.0.1:1',
+            'zone': zone,
+            'slots': 4,
+            'state': 'draining' if zone == 'leaving' else 'ready',
+            'group': {'name': 'g', 'epoch': 1, 'rank': 0, 'state': 'open'},
+            'models': [{'name': 'm'}],
+        }
+    ).encode()
+
+
+def _view_with(*zones):
+    view = _view.PlatformView(clocks.ManualClock())
+    rows = tuple(stores.RawRow(zone, _entry(zone), 1) for zone in zones)
+    view.upstream_table.apply_snapshot(stores.RowBatch(rows, 1), 0.0)
+    return view
+
+
+def _snapshot(view, version, *keys, value=b'', row_version=2):
+    rows = tuple(stores.RawRow(key, value, row_version) for key in keys)
+    view.config_table.apply_snapshot(stores.RowBatch(rows, version), 0.0)
+
+
+def _change(view, version, key, value):
+    view.config_table.apply_changes(
+        stores.RowBatch((stores.RawRow(key, value, version),), version), 0.0
+    )
+
+
+@pytest.mark.parametrize(
+    'keys, zones, available',
+    [
+        ((), set(), {'a', 'b'}),
+        (('evacuate/a',), {'a'}, {'b'}),
+        (('evacuate/a', 'evacuate/b'), {'a', 'b'}, set()),
+        (('evacuate/nowhere',), {'nowhere'}, {'a', 'b'}),
+        (('evacuate/', 'evacuated/a', 'x/evacuate/a'), set(), {'a', 'b'}),
+    ],
+)
+@pytest.mark.parametrize('value', [b'', b'{}', b'\xff\x00{', b'false'])
+def test_rows_evacuate_zones_whatever_their_values(
+    keys, zones, available, value
+):
+    """Guards against requests to a zone whose row can't be read."""
+    view = _view_with('a', 'b', 'leaving')
+    notified = []
+    view.on_upstreams_changed.append(lambda: notified.append(1))
+    _snapshot(view, 2, *keys, value=value)
+    assert view.evacuated_zones == zones
+    for found in (
+        view.book.find_available('s'),
+        view.book.find_open_heads('s', 'm'),
+    ):
+        assert {item.zone for item in found} == available
+    assert bool(notified) == bool(zones)
+    for number, key in enumerate(keys):
+        _change(view, 3 + number, key, None)
+    assert view.evacuated_zones == set()
+    assert {item.zone for item in view.book.find_available('s')} == {'a', 'b'}
+
+
+def test_evacuation_is_logged_once(monkeypatch):
+    """Guards against a line for each change of the table."""
+    names = []
+    monkeypatch.setattr(
+        'plantainway.logs.event', lambda name, *_level, **_: names.append(name)
+    )
+    view = _view_with('a')
+    _snapshot(view, 1)
+    for version in (2, 3):
+        _change(view, version, 'evacuate/a', b'')
+        _snapshot(view, version, 'evacuate/a', row_version=version)
+    _change(view, 4, 'evacuate/a', None)
+    _snapshot(view, 5)
+    for name in ('evacuation_begun', 'evacuation_ended'):
+        assert names.count(name) == 1
+
+
+@pytest.mark.parametrize(
+    'known, lacking, is_kept',
+    [
+        (('evacuate/a', 9), ERA + 5, True),
+        (('evacuate/a', ERA + 2), ERA + 5, False),
+        (('evacuate/a', 9), 12, False),
+        (('other', 9), ERA + 5, False),
+    ],
+)
+def test_row_lost_in_a_restore_stays_in_force(known, lacking, is_kept):
+    """The operator has not removed what only the copy lacks (table)."""
+    view = _view_with('a')
+    key, version = known
+    _snapshot(view, version, key, row_version=version)
+    _snapshot(view, lacking)
+    assert (key in view.config_table.rows) is is_kept
+    relayed = [row.key for row in view.config_table.rows_after(lacking)]
+    assert relayed == ([key] if is_kept else [])
+    later = _view_with('a')
+    _snapshot(later, lacking + 1)
+    _snapshot(later, lacking, key, row_version=version)
+    assert later.evacuated_zones == ({'a'} if is_kept else set())
+    _change(view, lacking + 1, key, None)
+    assert view.config_table.rows == {}
+    assert view.config_table.rows_after(lacking) == []
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -137,6 +137,7 @@
         self.started_ms = 1700000000000
         self.model = model
         self.domain = 'd0'
+        self.zone = 'a'
         self.staged: list[str] = []
         self.group: dict | None = None
         self.seq = 0
@@ -229,7 +230,7 @@
         entry = {
             'service': self.service,
             'address': self.address,
-            'zone': 'a',
+            'zone': self.zone,
             'slots': 4,
             'state': state,
             'born': self.started_ms,
--- a/tests/traffic/test_heads.py
+++ b/tests/traffic/test_heads.py
@@ -1,6 +1,7 @@
 """Reservations at heads: choice of the head, waiting and refusal."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -118,6 +119,31 @@
     assert names == {'h1'}
 
 
+@pytest.mark.parametrize(
+    'zones, before, after',
+    [({'b'}, {'h0'}, 'h0'), ({'a', 'b', 'none'}, set(), None)],
+)
+async def test_queued_request_follows_an_evacuation(zones, before, after):
+    """One that waits for the evacuated head only would wait in vain."""
+    heads = [_head('h0'), dataclasses.replace(_head('h1'), zone='b')]
+    harness = PoolHarness(*heads)
+    held = [await harness.reserve() for _n in range(10)]
+    waiting = asyncio.ensure_future(harness.reserve())
+    await asyncio.sleep(0)
+    assert harness.pool.dump() == {'s/m0': 1}
+    harness.book.set_evacuated(zones)
+    harness.pool.dispatch_waiting()
+    for reservation in held:
+        harness.pool.release(reservation)
+    found = {item.name for item in harness.book.find_open_heads('s', 'm0')}
+    assert found == before
+    if after is None:
+        with pytest.raises(errors.NotRunError):
+            await waiting
+    else:
+        assert (await waiting).head.name == after
+
+
 async def test_closed_head_is_used_again_in_a_new_group():
     """A closed head is excluded only for the membership it had then."""
     harness = PoolHarness(_head('h0'))
