Plan groups around evacuated domains

Cause: groups in an evacuated domain counted as capacity, so no spare elsewhere took its place. Change: the planner counts them as none; other domains form groups of spares that have the weights, an evacuated domain replaces only the groups that it has lost since then, and its spares load nothing.

--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -1,6 +1,7 @@
 """Controller of the replica groups of one service, run by the leader."""
 
 import asyncio
+import collections
 
 from plantainway import deployment
 from plantainway import logs
@@ -73,6 +74,7 @@
         witness=None,
     ):
         self.service = service
+        self._upstreams = upstreams
         self._client = client
         self._leadership = leadership
         self._clock = clock
@@ -91,6 +93,8 @@
         )
         self._releases = _releases.ReleaseTracker()
         self._groups: dict[str, _state.GroupRecord] = {}
+        # By domain and model, of evacuated domains when that began.
+        self._kept_groups: dict[str, dict[str, int]] = {}
         self._warmups = _warming.WarmupTracker()
         self.head_overrides = _heads.HeadOverrides(clock)
         self._epochs_used = 0
@@ -166,6 +170,7 @@
         self._releases.clear()
         self._warmups.adopt(engines, now + self._pacer.longest_load_s())
         self._groups = _adoption.adopt_groups(engines, self.profile, now)
+        self._kept_groups.clear()
         logs.event(
             'groups_adopted',
             service=self.service,
@@ -253,7 +258,9 @@
             Whether a group was disbanded, so that engines may be probed.
         """
         has_probed = False
-        for view in self._domain_views(engines):
+        views = self._domain_views(engines)
+        self._record_kept_groups(views)
+        for view in views:
             for action in _repair.plan_repairs(
                 view, now, self._pacer.join_time_s
             ):
@@ -273,6 +280,14 @@
             self._start_order(order)
         return has_probed
 
+    def _record_kept_groups(self, views) -> None:
+        """Records the groups of each domain until it is evacuated."""
+        is_starting = not self._pacer.traffic_seen
+        for view in views:
+            is_planned = is_starting or not view.is_evacuated
+            if is_planned or view.domain not in self._kept_groups:
+                self._kept_groups[view.domain] = view.count_groups()
+
     def _form_groups(self, engines, now: float) -> None:
         views = self._domain_views(engines)
         load_budget = self._pacer.load_budget(
@@ -340,10 +355,19 @@
                     for name, model in loading.items()
                     if name in domains.get(domain, {})
                 },
+                self._is_evacuated(domains.get(domain, {})),
+                self._kept_groups.get(domain, {}),
             )
             for domain in sorted(groups)
         ]
 
+    def _is_evacuated(self, engines) -> bool:
+        """Returns whether all engines of a domain are evacuated."""
+        return bool(engines) and all(
+            self._upstreams.is_evacuated(engine.upstream)
+            for engine in engines.values()
+        )
+
     def _group_counts(self, views) -> _plan.GroupCounts:
         current: dict[str, int] = {}
         for record in self._groups.values():
@@ -355,7 +379,12 @@
             len(views),
             self._demand.busy_groups(),
         )
-        return _plan.GroupCounts(current, targets)
+        evacuated = collections.Counter()
+        if self._pacer.traffic_seen:
+            for view in views:
+                if view.is_evacuated:
+                    evacuated += view.count_groups()
+        return _plan.GroupCounts(current, targets, evacuated)
 
     def _apply(self, action, engines, now: float) -> None:
         if isinstance(action, _state.Form):
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -33,21 +33,22 @@
     """Number of groups by model, with the targets.
 
     ``current`` includes groups that are being formed, but not groups that
-    are closing.
+    are closing. ``evacuated`` counts those of them that are in evacuated
+    domains and therefore provide no capacity.
     """
 
     current: dict[str, int]
     targets: dict[str, GroupTarget]
+    evacuated: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def fulfilled_ratio(self, model: str) -> float:
-        """Returns the number of groups of a model relative to its target.
+        """Returns the capacity of a model relative to its target.
 
         Args:
             model: Name of the model.
         """
-        return self.current.get(model, 0) / max(
-            self.targets[model].required, 1
-        )
+        serving = self.current.get(model, 0) - self.evacuated.get(model, 0)
+        return serving / max(self.targets[model].required, 1)
 
     def missing_base_groups(self, model: str) -> int:
         """Returns how many groups are missing from the base target.
@@ -153,6 +154,11 @@
     only while no engine of any domain is leaving a group. All members of a
     group are in the same fabric domain.
 
+    Groups in evacuated domains provide no capacity, so others are formed in
+    the other domains. That alone causes no loads, since the base target is
+    then met by the groups of all domains. Evacuated domains only replace the
+    groups that they have lost, except at the start.
+
     Args:
         views: The fabric domains.
         profile: The engine profile.
@@ -166,7 +172,8 @@
         The groups to form.
     """
     actions = []
-    domains = [_DomainCapacity.from_view(view) for view in views]
+    domains = [_DomainCapacity.from_view(view, is_starting) for view in views]
+    serving = [domain for domain in domains if not domain.is_evacuated]
     while True:
         models = sorted(
             profile.models,
@@ -182,6 +189,7 @@
                 # not for demand beyond it.
                 is_short = counts.is_below_base(model.name)
                 found = _cheapest_placement(
+                    serving,
                     domains,
                     model,
                     profile,
@@ -192,44 +200,94 @@
             if found is not None:
                 break
         if found is None:
-            return actions
-        domain, chosen, loads = found
-        load_budget -= loads
-        names = tuple(engine.name for engine in chosen)
-        actions.append(_state.Form(model.name, names, 'idle engines'))
-        counts.current[model.name] = counts.current.get(model.name, 0) + 1
-        domain.models.append(model.name)
-        domain.idle = [e for e in domain.idle if e.name not in names]
+            break
+        load_budget -= found[-1]
+        actions.append(_form(*found, model, counts))
+    for domain in domains:
+        if domain.is_evacuated:
+            actions += _replace_groups(
+                domain, domains, profile, counts, load_budget
+            )
+    return actions
+
+
+def _form(domain, chosen, _loads, model, counts) -> _state.Form:
+    """Forms a group of idle engines and counts it."""
+    names = tuple(engine.name for engine in chosen)
+    counts.current[model.name] = counts.current.get(model.name, 0) + 1
+    domain.models.append(model.name)
+    domain.idle = [e for e in domain.idle if e.name not in names]
+    return _state.Form(model.name, names, 'idle engines')
+
+
+def _replace_groups(
+    domain, domains, profile, counts, load_budget: int
+) -> list:
+    """Returns the groups to form in place of those an evacuated one lost."""
+    actions = []
+    for model in sorted(profile.models, key=lambda model: -model.members):
+        while domain.missing[model.name] > 0:
+            found = _cheapest_placement(
+                [domain],
+                domains,
+                model,
+                profile,
+                counts.targets[model.name].base,
+                load_budget if counts.is_below_base(model.name) else 0,
+                False,
+            )
+            if found is None:
+                break
+            load_budget -= found[-1]
+            domain.missing[model.name] -= 1
+            actions.append(_form(*found, model, counts))
+            counts.evacuated[model.name] = (
+                counts.evacuated.get(model.name, 0) + 1
+            )
+    return actions
 
 
 @dataclasses.dataclass(slots=True)
 class _DomainCapacity:
     """Capacity left in a domain while groups are chosen.
 
-    ``models`` holds the model of each group in the domain.
+    ``models`` holds the model of each group in the domain, ``missing`` how
+    many groups an evacuated domain has lost, by model.
     """
 
     name: str
     idle: list
     models: list
     has_leaving: bool
+    is_evacuated: bool
+    missing: collections.Counter
 
     @classmethod
-    def from_view(cls, view) -> '_DomainCapacity':
+    def from_view(cls, view, is_starting: bool) -> '_DomainCapacity':
         """Returns the capacity of a domain before any group is chosen."""
         models = [record.model for record in view.groups.values()]
+        missing = collections.Counter(view.kept_groups)
+        missing.subtract(view.count_groups())
         return cls(
             view.domain,
             idle_engines(view),
             models,
             bool(_leaving_engines(view)),
+            view.is_evacuated and not is_starting,
+            missing,
         )
 
 
 def _cheapest_placement(
-    domains, model, profile, base_groups, load_budget: int, is_starting: bool
+    choices,
+    domains,
+    model,
+    profile,
+    base_groups,
+    load_budget: int,
+    is_starting: bool,
 ):
-    """Returns the best domain for a group, its engines and their loads.
+    """Returns the best of some domains for a group, its engines and loads.
 
     Prefers few loads, then few groups of the same model in the domain, then
     many idle engines. Returns ``None`` if no domain can form the group.
@@ -238,7 +296,7 @@
     # Engines that are leaving a group may soon form one without a load.
     has_leaving = any(domain.has_leaving for domain in domains)
     max_per_domain = math.ceil(base_groups / max(len(domains), 1))
-    for domain in domains:
+    for domain in choices:
         if len(domain.idle) < model.members:
             continue
         if is_starting and (
@@ -284,7 +342,7 @@
     The spares of a domain are divided among the models in proportion to the
     engines in their base groups. Once traffic has been seen, a spare that
     has the weights of any model keeps them. Domains with engines that are
-    leaving a group are left out.
+    leaving a group, and evacuated ones, are left out.
 
     Args:
         views: The fabric domains.
@@ -305,6 +363,8 @@
         for model in profile.models
     }
     for view in views:
+        if view.is_evacuated:
+            continue
         if _leaving_engines(view):
             continue  # leaving and idle engines may form a group
         idle = idle_engines(view)
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -1,5 +1,6 @@
 """Input and output types of the replica group planner."""
 
+import collections
 import dataclasses
 import enum
 
@@ -100,7 +101,9 @@
     ``busy`` holds the names of engines that load a model or leave a group.
     ``ended_memberships`` holds memberships that have ended although the
     store entries still show them. ``loading`` maps the names of spare
-    engines to the model that they load.
+    engines to the model that they load. ``is_evacuated`` tells whether the
+    engines get no requests at the operator's request; ``kept_groups`` is then
+    the number of groups by model up to which lost ones are replaced.
     """
 
     domain: str
@@ -109,6 +112,16 @@
     busy: frozenset
     ended_memberships: frozenset = frozenset()
     loading: dict[str, str] = dataclasses.field(default_factory=dict)
+    is_evacuated: bool = False
+    kept_groups: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def count_groups(self) -> collections.Counter:
+        """Returns the number of groups by model, closing ones left out."""
+        return collections.Counter(
+            record.model
+            for record in self.groups.values()
+            if record.closing_since is None
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/supply/fake_engines.py
+++ b/tests/supply/fake_engines.py
@@ -31,6 +31,7 @@
     state: State = State.NONE
     ready_at: float = 0.0
     newest_epoch: int = 0
+    zone: str = 'a'
 
     @property
     def membership(self) -> deployment.Membership | None:
@@ -111,7 +112,7 @@
             engine.name,
             SERVICE,
             '10.0.0.1:1',
-            'a',
+            engine.zone,
             self.profile.slots,
             False,
             started_ms=7,
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -272,3 +272,37 @@
     while harness.tasks:
         await asyncio.gather(*harness.tasks)
     assert bool(harness.engines.orders) == sent
+
+
+async def test_evacuated_domain_is_replaced_kept_and_repaired():
+    """Also by a new leader, and without a load or a lost group."""
+    harness = Harness(
+        dict.fromkeys(('d0', 'd1'), ('big',) * 4 + ('small',) * 4)
+    )
+    by_name = harness.engines.by_name
+    for engine in by_name.values():
+        engine.zone = engine.domain
+    harness.start_traffic()
+    await harness.run(3.0)
+    groups = (harness.open_groups('big'), harness.open_groups('small'))
+    assert groups == (2, 2)
+    harness.engines.book.set_evacuated({'d1', 'nowhere'})
+    await harness.run(2.0)
+    assert harness.open_groups('small') == 3
+    lost = next(
+        engine
+        for engine in by_name.values()
+        if engine.domain == 'd1' and engine.model == 'small' and engine.group
+    )
+    lost.is_dead = True
+    harness.control.probe_group(lost.members[0])
+    await harness.run(2.0)
+    assert harness.open_groups('small') == 3
+    harness.elect_controller(term=2)
+    harness.control.update_demand({'big': 1.0, 'small': 1.0})
+    await harness.run(2.0)
+    harness.engines.book.set_evacuated(())
+    await harness.run(2.0)
+    groups = (harness.open_groups('big'), harness.open_groups('small'))
+    assert groups == (2, 3)
+    assert harness.engines.load_count == 0
--- a/tests/supply/test_plan.py
+++ b/tests/supply/test_plan.py
@@ -1,5 +1,7 @@
 """Tests of the planning of groups and spares, and of demand."""
 
+import dataclasses
+
 import pytest
 
 from plantainway import clock as clocks
@@ -65,6 +67,10 @@
     )
 
 
+def _evacuated(view, **kept):
+    return dataclasses.replace(view, is_evacuated=True, kept_groups=kept)
+
+
 def _counts(big, small, want=(1, 1)):
     return _plan.GroupCounts(
         {'big': big, 'small': small},
@@ -240,3 +246,55 @@
         [_view('d', engines)], make_profile(), _counts(*have), 8, True
     )
     assert len(actions) == expected
+
+
+SMALL_GROUP = (('g0', 'small', ('a0', 'a1')),)
+
+
+@pytest.mark.parametrize(
+    'groups, is_evacuated, kept, spares, budget, starting, formed',
+    [
+        (SMALL_GROUP, False, 1, 'small', 8, False, []),
+        (SMALL_GROUP, True, 1, 'small', 8, False, ['b0']),
+        (SMALL_GROUP, True, 1, 'big', 8, False, []),  # met by all domains
+        (SMALL_GROUP, True, 1, '', 8, False, []),
+        (SMALL_GROUP, True, 1, 'small', 8, True, []),
+        ((), True, 0, '', 0, False, []),
+        ((), True, 0, '', 8, False, ['b0']),  # missing in any case
+        ((), True, 0, 'big', 0, False, []),
+        ((), True, 1, 'big', 0, False, ['a0']),  # a lost one
+        ((), True, 1, 'small', 0, False, ['b0', 'a0']),
+        ((), True, 0, 'small', 0, False, ['b0']),
+    ],
+)
+def test_groups_in_evacuated_domains_are_no_capacity(
+    groups, is_evacuated, kept, spares, budget, starting, formed
+):
+    """Other domains make up for them without loads of their own."""
+    group = 'g0' if groups else ''
+    members = [make_engine(f'a{n}', 'small', group) for n in range(2)]
+    zone = _view('d0', members, groups)
+    counts = _counts(1, len(groups))
+    if is_evacuated:
+        zone = _evacuated(zone, small=kept)
+        counts.evacuated['small'] = 0 if starting else len(groups)
+    other = _view('d1', [make_engine(f'b{n}', spares) for n in range(2)])
+    actions = _plan.form_groups(
+        [zone, other], make_profile(), counts, budget, starting
+    )
+    assert [action.members[0] for action in actions] == formed
+
+
+@pytest.mark.parametrize('is_evacuated, loads', [(False, 1), (True, 0)])
+@pytest.mark.parametrize('starting', [False, True])
+def test_spares_of_evacuated_domains_load_nothing(
+    is_evacuated, loads, starting
+):
+    """The zone may be out of service for a reason."""
+    view = _view('d0', [make_engine('e0')])
+    if is_evacuated:
+        view = _evacuated(view)
+    actions = _plan.warm_spares(
+        [view], make_profile(), _counts(1, 1), 8, starting
+    )
+    assert len(actions) == loads
