--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1323,6 +1323,20 @@
         '        if False:',
         'tests/traffic/test_stream.py',
     ),
+    Mutant(
+        'a head that opens gets at most twice its part',
+        'plantainway/traffic/_placement.py',
+        '[min(max(room, 0.0), most) for room in rooms]',
+        '[max(room, 0.0) for room in rooms]',
+        'tests/traffic/test_placement.py',
+    ),
+    Mutant(
+        'heads are drawn by their room',
+        'plantainway/traffic/_placement.py',
+        'return rng.choices(heads, weights)[0]',
+        'return heads[weights.index(max(weights))]',
+        'tests/traffic/test_heads.py',
+    ),
 )
 
 
