Permits for cold upstreams

An upstream that starts during traffic tolerates coldPerS requests per second from all nodes and crashes well above that; nodes ignored it, and each sent to the least loaded head, which is one that has just opened.

A cold upstream is now a rate limit that expires by itself, read from entries and from Cold-Ms of answers. Kept shares allow four seconds' worth of a limit at once, so nodes without a leader use equal parts in any second for cold upstreams, and begin when the leader holds them back. Services without coldPerS are never limited.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -462,6 +462,9 @@
                 limits=self.limits.observations() if includes_limits else None,
                 absent=self.absent_nodes(),
                 unreached=self.unreached(),
+                cold=(
+                    self.limits.cold.observations() if includes_limits else []
+                ),
             )
             shared.encoded[key] = _messages.encode_for_node(update)
         link.sent_nodes = shared.nodes
@@ -655,11 +658,14 @@
         with contextlib.suppress(websockets.ConnectionClosed):
             for number in itertools.count(1):
                 new_limits = self.limits.take_unreported()
+                new_cold = self.limits.cold.take_unreported()
                 if number == 1:
                     new_limits = self.limits.observations()
+                    new_cold = self.limits.cold.answered()
                 beat = dataclasses.replace(
                     self._own_heartbeat(),
                     limits=new_limits,
+                    cold=new_cold,
                     number=number,
                     versions={
                         name: table.version
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -59,7 +59,9 @@
     the last message of the leader on this link, 0 before the first, and
     ``message_age_ms`` the time since its receipt, or since the link was made.
     ``reached`` answers the leader's questions whether the node reaches an
-    engine, by number.
+    engine, by number. ``cold`` are the upstreams whose answers to this node
+    showed since its last heartbeat that they are cold, all of them in the
+    first one on a link.
     """
 
     info: NodeInfo
@@ -81,6 +83,9 @@
     message_number: int = 0
     message_age_ms: int = 0
     reached: dict[int, bool] = dataclasses.field(default_factory=dict)
+    cold: list[ratelimits.ColdObservation] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,7 +175,9 @@
     known limits of upstreams, ``None`` if they are unchanged since the last
     update to this node; ``absent`` names the nodes that may be using shares
     of them without being in touch. ``unreached`` names engines that the
-    leader does not reach, by number of the question.
+    leader does not reach, by number of the question. ``cold`` are the
+    upstreams whose answers to any node showed that they are cold, sent along
+    with ``limits``.
     """
 
     leader: str
@@ -186,6 +193,9 @@
     limits: list[ratelimits.LimitObservation] | None = None
     absent: list[str] = dataclasses.field(default_factory=list)
     unreached: dict[int, str] = dataclasses.field(default_factory=dict)
+    cold: list[ratelimits.ColdObservation] = dataclasses.field(
+        default_factory=list
+    )
 
 
 _TAGS = {
--- a/plantainway/deployment/_configuration.py
+++ b/plantainway/deployment/_configuration.py
@@ -169,12 +169,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A set of interchangeable upstreams."""
+    """A set of interchangeable upstreams.
+
+    After a start during traffic its upstreams are cold for ``cold_s`` seconds
+    and take ``cold_per_s`` requests per second meanwhile; 0 if they are never
+    cold.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineProfile | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainway/deployment/_upstreams.py
+++ b/plantainway/deployment/_upstreams.py
@@ -39,7 +39,9 @@
 
     ``started_ms`` is its start in Unix milliseconds; it distinguishes
     successive processes of one name. ``staged`` names the models whose
-    weights are stored on its host.
+    weights are stored on its host. ``cold_left_ms`` is for how much longer it
+    stayed cold when its entry was written; entries that differ in nothing else
+    are equal.
     """
 
     name: str
@@ -52,6 +54,7 @@
     domain: str = ''
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
+    cold_left_ms: int = dataclasses.field(default=0, compare=False)
 
     @property
     def is_open_head(self) -> bool:
--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -27,6 +27,11 @@
                 'Parts of prompts that are refused or on probation',
                 len(state['quarantined_parts']),
             ),
+            (
+                'cold_upstreams',
+                'Upstreams that are cold, which limits their rate',
+                len(state['cold_upstreams']),
+            ),
             ('leads', 'Whether the node leads', int(state['leads'])),
             ('store_calls', 'Calls to the store', state['store_calls']),
         ):
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -104,6 +104,9 @@
         )
         self._view = _view.PlatformView(clock)
         self._limits = ratelimits.LimitBook(clocks.SuspendAwareClock())
+        self._limits.cold.upstreams = self._view.book
+        self._limits.cold.overshoot = cfg.bounds.cold_overshoot
+        self._limits.cold.tolerance = cfg.bounds.cold_tolerance
         self._shares = ratelimits.KeptShares(cfg.node, self._limits, clock)
         self._links = traffic.LinkMonitor(clock)
         self._link_task = _links.LinkTask(
@@ -269,6 +272,11 @@
         """Registers the components' listeners with one another."""
         dependencies, view = self._dependencies, self._view
         view.on_configuration.append(self._gateway.configure)
+        view.on_configuration.append(self._limits.cold.configure)
+        view.on_entry.append(self._limits.cold.observe_entry)
+        self._client.on_cold.append(self._limits.cold.observe_answer)
+        self._limits.cold.on_answered.append(self._leader_link.send_soon)
+        self._limits.cold.on_warm.append(dependencies.heads.dispatch_waiting)
         view.on_upstreams_changed.append(dependencies.heads.dispatch_waiting)
         view.on_group_changed.append(dependencies.stalls.forget)
         view.on_removed.append(dependencies.forget)
@@ -570,6 +578,7 @@
             'relayed_bytes': self._hub.sent_bytes,
             'groups': self._controllers.dump(),
             'upstream_limits': self._limits.in_force(),
+            'cold_upstreams': sorted(self._limits.cold.in_force()),
             'quarantined_parts': self._dependencies.quarantine.remaining_ms(),
         }
 
--- a/plantainway/edge/_permits.py
+++ b/plantainway/edge/_permits.py
@@ -34,7 +34,7 @@
         self._link = link
 
     def is_limited(self, upstream) -> bool:
-        """Returns whether an upstream has named a limit."""
+        """Returns whether an upstream has named a limit or is cold."""
         return self._limits.find(upstream) is not None
 
     async def acquire(self, upstreams, max_wait_s: float):
@@ -142,6 +142,7 @@
             delay_s: Longest time that it may have been on its way.
         """
         self._limits.merge(beat.limits, delay_s)
+        self._limits.cold.merge(beat.cold)
         self._issuer.record_heard(beat.info.node, beat.shares)
 
     def handle_update(self, update) -> None:
@@ -152,6 +153,7 @@
         """
         if update.limits is not None:
             self._limits.merge(update.limits, self._link.update_delay_s)
+        self._limits.cold.merge(update.cold)
 
     def update_touch(self, is_leader: bool) -> None:
         """Fixes the shares of this node when it hears of no leader.
@@ -170,6 +172,7 @@
         while True:
             is_leader = self._leadership.is_leader()
             self.update_touch(is_leader)
+            self._limits.cold.expire()
             if is_leader:
                 self._ask_unconfirmed()
             await asyncio.sleep(TICK_S)
--- a/plantainway/edge/_settings.py
+++ b/plantainway/edge/_settings.py
@@ -36,7 +36,8 @@
     nodes, a service may get ``retry_ratio`` retries per request and
     ``retry_slack`` more in a window of ``retry_window_s`` seconds. Clients
     cache an answer of the directory for ``directory_ttl_s`` seconds or up to
-    three times as long.
+    three times as long. A cold upstream may be sent ``cold_overshoot`` times
+    its rate and ``cold_tolerance`` requests more in a second.
     """
 
     stop_s: float = 8.0
@@ -44,6 +45,8 @@
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
     directory_ttl_s: float = pydantic.Field(1.0, gt=0.0)
+    cold_overshoot: float = pydantic.Field(1.0, ge=0.0)
+    cold_tolerance: float = pydantic.Field(0.0, ge=0.0)
 
 
 class EdgeSettings(pydantic.BaseModel):
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -22,6 +22,8 @@
         config_table: Cache of the configuration table.
         upstream_table: Cache of the upstream table.
         on_configuration: Called with each configuration put in force.
+        on_entry: Called with each upstream as its entry shows it and the
+            version of the row, before the upstream book is updated.
         on_removed: Called with each upstream whose entry was removed.
         on_group_changed: Called with the name of each upstream that is new
             or whose group membership changes, before the upstream book is
@@ -44,6 +46,7 @@
         self.upstream_table.on_change.append(self._apply_upstreams)
         self._leaving: dict[str, int] = {}  # start times by name
         self.on_configuration = []
+        self.on_entry = []
         self.on_removed = []
         self.on_group_changed = []
         self.on_upstreams_changed = []
@@ -184,6 +187,8 @@
             if self._leaving.get(upstream.name) == upstream.started_ms:
                 upstream = dataclasses.replace(upstream, draining=True)
             decoded.append(upstream)
+            for listener in self.on_entry:
+                listener(upstream, row.version)
             self._handle_changed(upstream, row.version)
         self.book.apply(
             decoded, [*removed, *unreadable], self.upstream_table.version
--- a/plantainway/platform/_messages.py
+++ b/plantainway/platform/_messages.py
@@ -47,6 +47,9 @@
 _TimeMs = typing.Annotated[StrictInteger, pydantic.Field(ge=0, le=TIME_MS_MAX)]
 
 
+_Rate = typing.Annotated[float | None, pydantic.Field(allow_inf_nan=False)]
+
+
 class _ServiceShare(_Body):
     service: StrictString
     weight: float = 1.0
@@ -157,6 +160,8 @@
     health_path: str = pydantic.Field('/', alias='healthPath')
     max_connections: int = pydantic.Field(1000, alias='maxConns')
     engine: _Engine | None = None
+    cold_s: _Rate = pydantic.Field(None, alias='coldS')
+    cold_per_s: _Rate = pydantic.Field(None, alias='coldPerS')
 
 
 class _Account(_Body):
@@ -207,6 +212,7 @@
     staged: list[str] = []
     models: list[_ServedModel] = []
     group: _Group | None = None
+    cold_left_ms: typing.Any = pydantic.Field(0, alias='coldLeftMs')
 
 
 class _Report(_Body):
@@ -249,6 +255,8 @@
                 item.health_path,
                 item.max_connections,
                 item.engine.decoded() if item.engine else None,
+                item.cold_s or 0.0,
+                item.cold_per_s or 0.0,
             )
             for item in parsed.services
         },
@@ -295,6 +303,15 @@
     )
 
 
+def _decode_cold_left(value) -> int:
+    """Returns a time in milliseconds, 0 for a value that is none.
+
+    Entries with such a value still name an upstream.
+    """
+    is_time = isinstance(value, (int, float)) and 0 <= value <= TIME_MS_MAX
+    return int(value) if is_time else 0
+
+
 def decode_upstream(name: str, body: bytes) -> deployment.Upstream | None:
     """Decodes the entry that an upstream has registered in the store.
 
@@ -330,6 +347,7 @@
         domain=str(parsed.domain),
         staged=tuple(parsed.staged),
         membership=_decode_membership(parsed.group, parsed.models),
+        cold_left_ms=_decode_cold_left(parsed.cold_left_ms),
     )
 
 
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -190,6 +190,8 @@
         on_answer: Called with a runner and the rate that its answer names, in
             requests a second: ``None`` if it names none, NaN if that is
             unreadable. Answers of another runner at its address do not count.
+        on_cold: Called with a runner and the seconds for which its answer says
+            that it stays cold. Answers that say nothing on that do not count.
         on_leaving: Called with a runner each time that its answer says that it
             drains.
         on_unreached: Called with the name of a runner to which no connection
@@ -201,6 +203,7 @@
         self._unpooled_session = unpooled_session
         self._clock = clock
         self.on_answer = []
+        self.on_cold = []
         self.on_leaving = []
         self.on_unreached = []
 
@@ -224,6 +227,10 @@
         per_second = _parse_rate_limit(resp.headers, upstream.name)
         for listener in self.on_answer:
             listener(upstream, per_second)
+        cold_s = _parse_cold_s(resp.headers, upstream.name)
+        if cold_s:
+            for listener in self.on_cold:
+                listener(upstream, cold_s)
 
     async def send(self, attempt: traffic.Attempt) -> RunnerResponse:
         """Sends one attempt of a request; see the base class."""
@@ -424,6 +431,17 @@
     return float(text)
 
 
+def _parse_cold_s(headers, peer: str) -> float:
+    """Returns for how long a runner stays cold, 0 if it does not say."""
+    text = headers.get(_names.COLD_MS)
+    if text is None:
+        return 0.0
+    if not _DECIMAL.fullmatch(text):
+        logs.event('cold_unreadable', upstream=peer, value=text[:40])
+        return 0.0
+    return float(text) / 1000
+
+
 _ORDER_STATUSES = {
     200: supply.OrderStatus.HOLDS,
     202: supply.OrderStatus.BEGUN,
--- a/plantainway/ratelimits/__init__.py
+++ b/plantainway/ratelimits/__init__.py
@@ -2,6 +2,8 @@
 
 from plantainway.ratelimits._book import LimitBook
 from plantainway.ratelimits._book import LimitObservation
+from plantainway.ratelimits._cold import ColdObservation
+from plantainway.ratelimits._cold import ColdStates
 from plantainway.ratelimits._issuer import Permit
 from plantainway.ratelimits._issuer import PermitIssuer
 from plantainway.ratelimits._shares import KeptShares
--- a/plantainway/ratelimits/_book.py
+++ b/plantainway/ratelimits/_book.py
@@ -4,6 +4,7 @@
 import math
 
 from plantainway import logs
+from plantainway.ratelimits import _cold
 
 # An observation is of no use for longer than an answer may be delayed.
 OBSERVATION_TTL_S = 30.0
@@ -38,6 +39,13 @@
     observed_at: float
 
 
+def _lower(first: float | None, second: float | None) -> float | None:
+    """Returns the lower one of two limits; ``None`` stands for none."""
+    if first is None or second is None:
+        return first if second is None else second
+    return min(first, second)
+
+
 class LimitBook:
     """The newest limit that each upstream has named.
 
@@ -50,7 +58,7 @@
             suspended.
 
     Attributes:
-        revision: Number of changes of the limits.
+        cold: Upstreams that are cold, which limits them too.
         on_named: Called after an answer to this node has changed a limit.
     """
 
@@ -58,9 +66,15 @@
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
         self._unreported: set[str] = set()
-        self.revision = 0
+        self._revision = 0
+        self.cold = _cold.ColdStates(clock)
         self.on_named = []
 
+    @property
+    def revision(self) -> int:
+        """Returns the number of changes of the limits."""
+        return self._revision + self.cold.revision
+
     def observe(self, upstream, per_second: float | None) -> None:
         """Records an answer of an upstream to this node.
 
@@ -111,7 +125,7 @@
         is_restart = known is not None and known.started_ms != entry.started_ms
         if entry.per_second == was and not is_restart:
             return
-        self.revision += 1
+        self._revision += 1
         logs.event(
             'upstream_limit',
             upstream=name,
@@ -125,17 +139,36 @@
         Args:
             upstream: The upstream.
         """
+        cold = self.cold.find(upstream)
         entry = self._entries.get(upstream.name)
         if entry is None or entry.started_ms != upstream.started_ms:
-            return None
-        return entry.per_second
+            return cold
+        return _lower(entry.per_second, cold)
 
     def find_by_name(self, name: str) -> float | None:
-        """Returns the newest limit of an upstream, of any incarnation.
+        """Returns the limit by which permits for an upstream are issued.
+
+        That is the newest limit of any incarnation, and the rate of a cold
+        upstream. If neither is known here, the node that asks for a permit
+        knows that the upstream is cold.
 
         Args:
             name: Name of the upstream.
         """
+        found = _lower(self._named(name), self.cold.find_by_name(name))
+        return self.cold.rate_of(name) if found is None else found
+
+    def is_cold(self, name: str) -> bool:
+        """Returns whether permits for an upstream are those of a cold one.
+
+        Args:
+            name: Name of the upstream.
+        """
+        if self._named(name) is None:
+            return self.cold.rate_of(name) is not None
+        return self.cold.find_by_name(name) is not None
+
+    def _named(self, name: str) -> float | None:
         entry = self._entries.get(name)
         return entry.per_second if entry else None
 
@@ -147,7 +180,8 @@
         """
         self._unreported.discard(name)
         if self._entries.pop(name, None) is not None:
-            self.revision += 1
+            self._revision += 1
+        self.cold.forget(name)
 
     def take_unreported(self) -> list[LimitObservation]:
         """Returns the observations of this node since the last call."""
@@ -186,6 +220,13 @@
             if entry.per_second is not None
         }
 
+    def cold_in_force(self) -> dict[str, float]:
+        """Returns the limits of the cold upstreams by name."""
+        return {
+            name: _lower(self._named(name), per_second)
+            for name, per_second in self.cold.in_force().items()
+        }
+
     def unconfirmed(self, age_s: float) -> list[str]:
         """Returns the upstreams whose limit no answer has confirmed lately.
 
--- a/plantainway/ratelimits/_issuer.py
+++ b/plantainway/ratelimits/_issuer.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from plantainway.ratelimits import _cold
 from plantainway.ratelimits import _shares
 from plantainway.ratelimits import _window
 
@@ -32,14 +33,15 @@
     """Times at which one upstream may be sent a request.
 
     ``next_at`` is when the next permit would fall due if they were evenly
-    spaced; a permit may be issued up to ``BURST_S`` before that. ``limit`` is
+    spaced; a permit may be issued up to ``burst_s`` before that. ``limit`` is
     what the upstream has named, ``per_second`` what is left of it without
     what is held back, until ``update_at``.
     """
 
-    def __init__(self, now: float):
+    def __init__(self, now: float, burst_s: float):
         self.created_at = now
-        self.next_at = now + BURST_S
+        self.burst_s = burst_s
+        self.next_at = now + burst_s
         self.limit = 0.0
         self.per_second = 0.0
         self.update_at = float('-inf')
@@ -56,7 +58,7 @@
         """Returns the seconds until a permit may be used."""
         if not self.per_second:
             return float('inf')
-        return max(self.next_at - BURST_S - now, 0.0)
+        return max(self.next_at - self.burst_s - now, 0.0)
 
     def take(self, node: str, now: float) -> None:
         """Issues the next permit."""
@@ -88,6 +90,7 @@
         self._silent: dict[str, tuple[float, dict[str, int]]] = {}
         self._unaccounted: set[str] = set()
         self._unaccounted_until = float('-inf')
+        self._returned: dict[str, float] = {}  # until when, by node
         self._handed_over: collections.Counter = collections.Counter()
         self._limited_at_start: frozenset = frozenset()
         self._update_at = float('-inf')
@@ -102,6 +105,7 @@
         self._schedules.clear()
         self._heard_at.clear()
         self._silent.clear()
+        self._returned.clear()
         self._unaccounted = set(nodes)
         self._unaccounted_until = self._clock.now() + RESERVATION_TTL_S
         self._handed_over = collections.Counter(own_shares)
@@ -114,8 +118,10 @@
             node: Name of the node.
             shares: Shares that it held until now, by upstream.
         """
-        self._heard_at[node] = self._clock.now()
-        self._silent.pop(node, None)
+        now = self._heard_at[node] = self._clock.now()
+        if self._silent.pop(node, None) or node in self._unaccounted:
+            # It may just have used its part of what a cold upstream takes.
+            self._returned[node] = now + _cold.COLD_WINDOW_S
         if node in self._unaccounted:
             self._unaccounted.discard(node)
             self._handed_over.update(shares)
@@ -160,6 +166,11 @@
             for node, (until, shares) in self._silent.items()
             if now < until
         }
+        self._returned = {
+            node: until
+            for node, until in self._returned.items()
+            if now < until
+        }
         if now >= self._unaccounted_until:
             self._unaccounted.clear()
 
@@ -172,8 +183,7 @@
         if not self._silent and not self._unaccounted:
             return 0
         units = _shares.units(per_second)
-        nodes = self._heard_at.keys() | self._silent.keys()
-        nodes |= self._unaccounted | {self._node}
+        nodes = self._nodes()
         largest = _shares.max_share(per_second, len(nodes))
         count = 0
         later = set()
@@ -194,6 +204,24 @@
             count += sum(quotas[node] for node in later)
         return count
 
+    def _held_back_cold(self, per_second: float) -> int:
+        """Returns how much of a cold upstream's rate other nodes may use.
+
+        That is the equal parts, in a window, of the nodes that are absent or
+        were so until the window began.
+        """
+        absent = self._silent.keys() | self._returned.keys()
+        absent |= self._unaccounted
+        if not absent:
+            return 0
+        units = _shares.units(per_second, _cold.COLD_WINDOW_S)
+        quotas = _window.equal_quotas(units, self._nodes())
+        return sum(quotas[node] for node in absent)
+
+    def _nodes(self) -> set[str]:
+        nodes = self._heard_at.keys() | self._silent.keys()
+        return nodes | self._unaccounted | {self._node}
+
     def issue(self, node: str, upstreams, max_wait_s: float) -> Permit:
         """Issues a permit for one of some upstreams.
 
@@ -225,15 +253,31 @@
             return None, 0.0
         schedule = self._schedules.get(name)
         if schedule is None:
-            schedule = self._schedules[name] = _Schedule(now)
+            schedule = _Schedule(now, self._burst_s(name, per_second))
+            self._schedules[name] = schedule
         if now >= schedule.update_at or per_second != schedule.limit:
             schedule.update_at = now + UPDATE_INTERVAL_S
             schedule.limit = per_second
-            held_back = self._held_back(name, per_second)
-            rate = per_second - held_back / _shares.SHARE_WINDOW_S
+            schedule.burst_s = self._burst_s(name, per_second)
+            rate = self._rate(name, per_second)
             schedule.set_rate(max(rate, 0.0), now)
         return schedule, schedule.wait_s(now)
 
+    def _burst_s(self, name: str, per_second: float) -> float:
+        """Returns for how long an unused limit may be caught up with."""
+        if not self._limits.is_cold(name):
+            return BURST_S
+        burst = self._limits.cold.burst(per_second)
+        return min(burst / max(per_second, 1.0), BURST_S)
+
+    def _rate(self, name: str, per_second: float) -> float:
+        """Returns what is left of a limit without what is held back."""
+        if not self._limits.is_cold(name):
+            held_back = self._held_back(name, per_second)
+            return per_second - held_back / _shares.SHARE_WINDOW_S
+        held_back = self._held_back_cold(per_second)
+        return per_second - held_back / _cold.COLD_WINDOW_S
+
     def forget(self, upstream: str) -> None:
         """Drops the schedule of an upstream that no longer exists.
 
--- a/plantainway/ratelimits/_shares.py
+++ b/plantainway/ratelimits/_shares.py
@@ -2,6 +2,7 @@
 
 import math
 
+from plantainway.ratelimits import _cold
 from plantainway.ratelimits import _window
 
 # A share is a number of requests in any window of this length.
@@ -10,15 +11,19 @@
 SHARE_TTL_S = 30.0
 # A share is at most this many times the equal part of a limit.
 SHARE_MAX_PARTS = 2
+# The leader may take 1.6 s to hold back the part of a silent node; what it
+# issued before has left the window of a cold upstream a second later.
+COLD_SHARE_DELAY_S = 2.6
 
 
-def units(per_second: float) -> int:
-    """Returns how many requests a limit allows in ``SHARE_WINDOW_S``.
+def units(per_second: float, window_s: float = SHARE_WINDOW_S) -> int:
+    """Returns how many requests a limit allows in a window.
 
     Args:
         per_second: The limit in requests a second.
+        window_s: Length of the window in seconds.
     """
-    return int(per_second * SHARE_WINDOW_S)
+    return int(per_second * window_s)
 
 
 def max_share(per_second: float, node_count: int) -> int:
@@ -38,7 +43,8 @@
     A share is what the node has sent in the window before it lost touch. The
     requests of that window count, so that all nodes together go on sending as
     much as they did. Of a limit that becomes known later each node has an
-    equal part.
+    equal part, and of the rate of a cold upstream an equal part of what it
+    takes in ``COLD_WINDOW_S``.
 
     Args:
         node: Name of this node.
@@ -52,8 +58,10 @@
         self._clock = clock
         self._sent: dict[str, _window.SlidingWindow] = {}
         self._shares: dict[str, int] = {}
+        self._cold_shares: dict[tuple[str, float], int] = {}
         self._nodes: frozenset = frozenset()
         self._valid_until = float('-inf')
+        self._cold_from = float('inf')
         self._is_in_touch = True
 
     def record_sent(self, upstream: str) -> None:
@@ -92,6 +100,8 @@
             return
         self._is_in_touch = False
         self._nodes = frozenset(nodes) | {self._node}
+        self._cold_from = heard_at + COLD_SHARE_DELAY_S
+        self._cold_shares.clear()
         self._valid_until = heard_at + SHARE_TTL_S
         self._shares = {
             name: min(self._sent_count(name), self._max_share(per_second))
@@ -103,7 +113,12 @@
 
     def _sent_count(self, upstream: str) -> int:
         window = self._sent.get(upstream)
-        return window.count(SHARE_WINDOW_S) if window else 0
+        return window.count(self._window_s(upstream)) if window else 0
+
+    def _window_s(self, upstream: str) -> float:
+        if self._limits.is_cold(upstream):
+            return _cold.COLD_WINDOW_S
+        return SHARE_WINDOW_S
 
     def try_send(self, upstream: str) -> bool:
         """Counts a request to a limited upstream, if the share allows it.
@@ -129,7 +144,7 @@
         shares = self.shares()
         return min(
             (
-                self._sent[name].remaining_s(SHARE_WINDOW_S)
+                self._sent[name].remaining_s(self._window_s(name))
                 for name in upstreams
                 if shares.get(name) and name in self._sent
             ),
@@ -145,4 +160,17 @@
                 self._shares[name] = _window.equal_quota(
                     units(per_second), self._node, self._nodes
                 )
-        return {name: share for name, share in self._shares.items() if share}
+        is_begun = self._clock.now() >= self._cold_from
+        shares = self._shares | {
+            name: self._cold_share(name, per_second) if is_begun else 0
+            for name, per_second in self._limits.cold_in_force().items()
+        }
+        return {name: share for name, share in shares.items() if share}
+
+    def _cold_share(self, name: str, per_second: float) -> int:
+        key = (name, per_second)
+        if key not in self._cold_shares:
+            self._cold_shares[key] = _window.equal_quota(
+                units(per_second, _cold.COLD_WINDOW_S), self._node, self._nodes
+            )
+        return self._cold_shares[key]
--- a/tests/edge/test_view.py
+++ b/tests/edge/test_view.py
@@ -68,6 +68,26 @@
     assert view.book.find_open_heads('s', 'm') == []
 
 
+def test_change_of_the_cold_time_alone_is_passed_on_without_a_line(capsys):
+    """Runners rewrite it with each heartbeat, at every node."""
+    clock = clocks.ManualClock()
+    view = _view.PlatformView(clock)
+    seen = []
+    view.on_entry.append(
+        lambda one, version: seen.append((one.cold_left_ms, version))
+    )
+    lines = []
+    for version, left_ms in ((1, 5000), (2, 4500)):
+        entry = json.loads(_entry()) | {'coldLeftMs': left_ms}
+        row = stores.RawRow('e0', json.dumps(entry).encode(), version)
+        view.upstream_table.apply_snapshot(
+            stores.RowBatch((row,), version), clock.now()
+        )
+        lines.append(capsys.readouterr().out.count('upstream_seen'))
+    assert seen == [(5000, 1), (4500, 2)]
+    assert lines[1] == 0
+
+
 def test_report_of_unknown_head_is_ignored():
     """A head without an entry has no address, so it cannot be used."""
     view = _view.PlatformView(clocks.ManualClock())
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -96,14 +96,15 @@
     The runner crashes when it is about to send the first event of a request
     whose prompt has ``crash_part``, or any answer to one whose body is
     ``crash_body``, and starts again after ``RESTART_S``. All answers name
-    ``rate_limit``, unless it is empty, and refusals ``retry_after``;
-    all have ``leaving`` as their Server-Leaving.
+    ``rate_limit`` and ``cold_ms``, unless they are empty, and refusals
+    ``retry_after``; all have ``leaving`` as their Server-Leaving.
     """
 
     broken: BrokenAnswer | None = None
     crash_part: str = ''
     crash_body: bytes = b''
     rate_limit: str = ''
+    cold_ms: str = ''
     retry_after: str = ''
     leaving: str = ''
     answer: str = 'whole'
@@ -140,6 +141,7 @@
         self.staged: list[str] = []
         self.group: dict | None = None
         self.seq = 0
+        self.cold_left_ms = 0
         self.seen: list[ReceivedRequest] = []
         self.ran: list[str] = []  # ids of requests that a refusal denies
         self._refusals: list = []
@@ -236,6 +238,7 @@
             'domain': self.domain,
             'staged': self.staged,
             'seq': self.seq,
+            'coldLeftMs': self.cold_left_ms,
         }
         if self.group is not None:
             entry['group'] = self.group
@@ -349,6 +352,7 @@
         named = [
             ('Server-Limit', self.faults.rate_limit),
             ('Server-Leaving', self.faults.leaving),
+            ('Cold-Ms', self.faults.cold_ms),
         ]
         return [*headers, *(item for item in named if item[1])]
 
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -109,6 +109,19 @@
     assert platform.decode_upstream('i-1', body) is None
 
 
+@pytest.mark.parametrize(
+    'value, expected',
+    [(8200, 8200), (8200.5, 8200), (None, 0), ('x', 0), (-1, 0), ([], 0)],
+)
+def test_entry_with_an_odd_cold_time_names_an_upstream(value, expected):
+    """It is taken as warm, and differs from others in nothing else."""
+    body = json.dumps(ENTRY | {'coldLeftMs': value}).encode()
+    found = platform.decode_upstream('i-1', body)
+    assert found.cold_left_ms == expected
+    warm = platform.decode_upstream('i-1', json.dumps(ENTRY).encode())
+    assert found == warm
+
+
 def test_configuration_is_decoded_completely():
     """Routes, services, accounts and limits are decoded."""
     cfg = platform.decode_configuration(json.dumps(CONFIG).encode())
