--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -515,8 +515,10 @@
     Mutant(
         'a new leader sends no rows that a node holds already',
         'plantainway/cluster/_follower.py',
-        'if row.version > version or row.key in self._kept_keys',
-        'if True',
+        'if row.version > version\n'
+        '            or row.key in self._kept_keys\n'
+        '            or self._outlasts(row, self.version)\n',
+        'if True\n',
         'tests/cluster/test_hub.py tests/cluster/test_follower.py',
     ),
     Mutant(
@@ -1056,8 +1058,8 @@
     Mutant(
         'values that the store lacks are relayed',
         'plantainway/cluster/_follower.py',
-        'if row.version > version or row.key in self._kept_keys',
-        'if row.version > version',
+        '            or row.key in self._kept_keys\n',
+        '',
         'tests/cluster/test_follower.py',
     ),
     Mutant(
@@ -1323,6 +1325,113 @@
         '        if False:',
         'tests/traffic/test_stream.py',
     ),
+    Mutant(
+        'zone checked after the wait for a permit, streams',
+        'plantainway/traffic/_stream.py',
+        '        while self._deps.upstreams.is_evacuated(reservation.head):',
+        '        while False:',
+        'tests/platform/test_evacuation.py',
+    ),
+    Mutant(
+        'zone checked after the wait for a permit, plain services',
+        'plantainway/traffic/_plain.py',
+        '            if not deps.upstreams.is_evacuated(chosen):',
+        '            if True:',
+        'tests/platform/test_evacuation.py',
+    ),
+    Mutant(
+        'upstreams of evacuated zones are left out',
+        'plantainway/deployment/_upstreams.py',
+        'if not item.draining and not self.is_evacuated(item)',
+        'if not item.draining',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'waiting requests are dispatched again after an evacuation',
+        'plantainway/edge/_view.py',
+        "            logs.event('evacuation_ended', zone=zone)\n"
+        '        for listener in self.on_upstreams_changed:\n',
+        "            logs.event('evacuation_ended', zone=zone)\n"
+        '        for listener in ():\n',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'an evacuation is logged once',
+        'plantainway/edge/_view.py',
+        '        if zones == known:\n            return\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a row lost in a restore stays in force',
+        'plantainway/cluster/_follower.py',
+        '            if self._outlasts(self.rows[key], version):',
+        '            if False:',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a row of the current era that is missing was removed',
+        'plantainway/platform/_store.py',
+        'and known_version >> ERA_SHIFT < version >> ERA_SHIFT',
+        'and True',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a lost row reaches nodes whose table is newer',
+        'plantainway/cluster/_follower.py',
+        '            self._add_outlasting(reading.rows)\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a lost row is relayed',
+        'plantainway/cluster/_follower.py',
+        '            or self._outlasts(row, self.version)\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'groups in evacuated domains are no capacity',
+        'plantainway/supply/_plan.py',
+        'self.current.get(model, 0) - self.evacuated.get(model, 0)',
+        'self.current.get(model, 0)',
+        'tests/supply/test_plan.py tests/supply/test_control.py',
+    ),
+    Mutant(
+        'evacuated domains get no groups in place of others',
+        'plantainway/supply/_plan.py',
+        'serving = [domain for domain in domains if not domain.is_evacuated]',
+        'serving = domains',
+        'tests/supply/test_plan.py',
+    ),
+    Mutant(
+        'lost groups of evacuated domains are replaced',
+        'plantainway/supply/_plan.py',
+        '        while domain.missing[model.name] > 0:',
+        '        while False:',
+        'tests/supply/test_plan.py tests/supply/test_control.py',
+    ),
+    Mutant(
+        'spares of evacuated domains load nothing',
+        'plantainway/supply/_plan.py',
+        '        if view.is_evacuated:\n            continue\n',
+        '',
+        'tests/supply/test_plan.py',
+    ),
+    Mutant(
+        'groups of an evacuated domain are recorded when that begins',
+        'plantainway/supply/_control.py',
+        'if is_planned or view.domain not in self._kept_groups:',
+        'if True:',
+        'tests/supply/test_control.py',
+    ),
+    Mutant(
+        'evacuated groups are counted',
+        'plantainway/supply/_control.py',
+        '                    evacuated += view.count_groups()',
+        '                    pass',
+        'tests/supply/test_control.py',
+    ),
 )
 
 
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -10,6 +10,7 @@
 STREAM = {'Model': 'm0', 'Token_Count': '10,10', 'method': 'POST'}
 PATHS = ['/safe/x', '/unsafe/x', '/stream/x']
 PERMIT_S = 0.4
+EVACUATE_S = 5.0  # of the platform's rules
 
 
 @pytest.fixture
@@ -176,3 +177,15 @@
             await conftest.until(
                 lambda one=one: one.dump()['evacuated_zones'] == [], 'ended'
             )
+
+
+async def test_evacuation_outlasts_the_leader(three_nodes, store):
+    """The leader is lost when it has just seen the row, or has not yet."""
+    leader, *others = three_nodes
+    store.put('op', 'evacuate/b', b'')
+    await leader.close()
+    async with asyncio.timeout(EVACUATE_S):
+        for one in others:
+            await conftest.until(
+                lambda one=one: one.dump()['evacuated_zones'] == ['b'], 'known'
+            )
