Move groups between models by measured demand

Targets change with the moves, so that form_groups undoes none. The dump and three gauges show demand, groups and base by model.

--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -66,6 +66,7 @@
         for upstream, per_second in state['upstream_limits'].items():
             limits.add_metric([upstream], per_second)
         yield limits
+        yield from _model_gauges(state['groups'])
         yield core.CounterMetricFamily(
             'plantainway_relayed_bytes',
             'Bytes of updates sent to other nodes as leader',
@@ -82,6 +83,22 @@
         )
 
 
+def _model_gauges(groups):
+    """Yields the demand and the groups of each model, on the leader only."""
+    for key, name, text in (
+        ('busy', 'busy_groups', 'Groups that the demand for a model needs'),
+        ('groups', 'model_groups', 'Groups of a model, except closing ones'),
+        ('base', 'model_base_groups', 'Groups of a model kept at all times'),
+    ):
+        gauge = core.GaugeMetricFamily(
+            f'plantainway_{name}', text, labels=['service', 'model']
+        )
+        for service, controller in groups.items():
+            for model, figures in controller['models'].items():
+                gauge.add_metric([service, model], figures[key])
+        yield gauge
+
+
 def exposition(node) -> bytes:
     """Returns all metrics in the Prometheus text format.
 
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -5,6 +5,7 @@
 from plantainway import deployment
 from plantainway import logs
 from plantainway.supply import _adoption
+from plantainway.supply import _balance
 from plantainway.supply import _contacts
 from plantainway.supply import _demand
 from plantainway.supply import _heads
@@ -97,6 +98,8 @@
         self._term = 0
         self._pacer = _pacing.LoadPacer(self._engines.find)
         self._demand = _demand.DemandMeter(clock)
+        self._balancer = _balance.Balancer(clock)
+        self._counts: _plan.GroupCounts | None = None  # of the last tick
 
     @property
     def profile(self) -> deployment.EngineProfile | None:
@@ -166,6 +169,14 @@
         self._releases.clear()
         self._warmups.adopt(engines, now + self._pacer.longest_load_s())
         self._groups = _adoption.adopt_groups(engines, self.profile, now)
+        self._demand.clear()
+        views = self._domain_views(engines)
+        self._balancer.adopt(
+            views,
+            self.profile,
+            self._share_targets(views),
+            now + _balance.move_timeout_s(self._pacer.longest_load_s()),
+        )
         logs.event(
             'groups_adopted',
             service=self.service,
@@ -204,6 +215,7 @@
         )
         if self._repair_groups(engines, now):
             engines = self._engines.refresh(as_of)
+        self._balance(engines, now, as_of)
         self._form_groups(engines, now)
         self._warm_spares(engines, now)
 
@@ -273,6 +285,59 @@
             self._start_order(order)
         return has_probed
 
+    def _balance(self, engines, now: float, as_of: float) -> None:
+        """Begins and continues moves of capacity between models."""
+        views = self._domain_views(engines)
+        for move, is_done in self._balancer.remove_ended(views):
+            logs.event(
+                'rebalance_ended',
+                service=self.service,
+                domain=move.domain,
+                receiver=move.receiver,
+                done=is_done,
+            )
+        counts = self._counts = self._group_counts(views)
+        if now - as_of <= STALE_ENTRIES_S and self._is_registration_done(now):
+            demand = self._demand.summarize()
+            move = self._balancer.plan(
+                views,
+                self.profile,
+                counts,
+                demand,
+                self._pacer.max_concurrent_loads(),
+            )
+            if move is not None:
+                self._begin_move(move, views, counts, demand, engines, now)
+        if self._balancer.domains:
+            load_budget = self._pacer.load_budget(
+                engines, self._groups, len(self._warmups.models), now
+            )
+            for action in self._balancer.continue_moves(
+                views, self.profile, load_budget
+            ):
+                self._apply(action, engines, now)
+
+    def _begin_move(self, move, views, counts, demand, engines, now) -> None:
+        max_load_s = self._pacer.max_load_s(move.receiver)
+        self._balancer.begin(
+            move, views, now + _balance.move_timeout_s(max_load_s)
+        )
+        logs.event(
+            'rebalance',
+            service=self.service,
+            domain=move.domain,
+            donor=move.donor,
+            donor_peak=round(demand.peak.get(move.donor, 0.0), 2),
+            donor_groups=counts.current.get(move.donor, 0),
+            closing=','.join(move.closing),
+            receiver=move.receiver,
+            receiver_mean=round(demand.mean.get(move.receiver, 0.0), 2),
+            receiver_groups=counts.current.get(move.receiver, 0),
+            gained=move.gained,
+        )
+        for group in move.closing:
+            self._apply(_state.Close(group, True, 'rebalance'), engines, now)
+
     def _form_groups(self, engines, now: float) -> None:
         views = self._domain_views(engines)
         load_budget = self._pacer.load_budget(
@@ -349,13 +414,16 @@
         for record in self._groups.values():
             if record.closing_since is None:
                 current[record.model] = current.get(record.model, 0) + 1
-        targets = _plan.group_targets(
+        targets = self._balancer.correct(self._share_targets(views), views)
+        return _plan.GroupCounts(current, targets)
+
+    def _share_targets(self, views) -> dict[str, _plan.GroupTarget]:
+        return _plan.group_targets(
             self.profile,
             self._engines.peak_engine_count,
             len(views),
             self._demand.busy_groups(),
         )
-        return _plan.GroupCounts(current, targets)
 
     def _apply(self, action, engines, now: float) -> None:
         if isinstance(action, _state.Form):
@@ -508,8 +576,13 @@
             await asyncio.sleep(PLAN_INTERVAL_S)
 
     def dump(self) -> dict:
-        """Returns the groups, releases and warm-ups for the state dump."""
+        """Returns the groups, releases and warm-ups for the state dump.
+
+        On a leader, ``models`` holds the demand, the number of groups and
+        the base target of each model.
+        """
         return {
+            'models': self._dump_models(),
             'groups': {
                 name: {
                     'model': record.model,
@@ -522,3 +595,16 @@
             'releasing': sorted(self._releases.pending),
             'warming': sorted(self._warmups.models),
         }
+
+    def _dump_models(self) -> dict:
+        if self._counts is None or not self._leadership.is_leader():
+            return {}
+        busy = self._demand.busy_groups()
+        return {
+            name: {
+                'busy': round(busy.get(name, 0.0), 3),
+                'groups': self._counts.current.get(name, 0),
+                'base': target.base,
+            }
+            for name, target in self._counts.targets.items()
+        }
--- a/plantainway/supply/_demand.py
+++ b/plantainway/supply/_demand.py
@@ -1,11 +1,23 @@
 """Measurement of the demand for each model."""
 
 import collections
+import dataclasses
 
 # Long enough to average out noise, short enough to follow a burst.
 DEMAND_WINDOW_S = 4.0
 SAMPLE_INTERVAL_S = 0.2
 MIN_WINDOW_S = 2.0  # shorter measurements are too noisy
+HISTORY_S = 17.0  # a period of the demand that swings fastest
+PEAK_WINDOW_S = 2.0
+MIN_SPAN_S = 4.0  # long enough for a decision that costs a load
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Busy groups by model: mean and highest short-time mean."""
+
+    mean: dict[str, float]
+    peak: dict[str, float]
 
 
 class DemandMeter:
@@ -23,7 +35,7 @@
         """Adds a sample of the cumulative work.
 
         Samples that follow the last one within ``SAMPLE_INTERVAL_S`` are
-        dropped.
+        dropped, and all samples before the first work.
 
         Args:
             totals: Group-seconds of work by model, counted from any fixed
@@ -32,10 +44,16 @@
         now = self._clock.now()
         if self._samples and now - self._samples[-1][0] < SAMPLE_INTERVAL_S:
             return
+        if not any(totals.values()):
+            self._samples.clear()
         self._samples.append((now, totals))
-        while now - self._samples[0][0] > DEMAND_WINDOW_S:
+        while now - self._samples[0][0] > HISTORY_S:
             self._samples.popleft()
 
+    def clear(self) -> None:
+        """Drops all samples, since the totals may have a gap."""
+        self._samples.clear()
+
     def busy_groups(self) -> dict[str, float]:
         """Returns the average number of busy groups by model.
 
@@ -43,11 +61,44 @@
         """
         if not self._samples:
             return {}
-        started_at, before = self._samples[0]
-        ended_at, after = self._samples[-1]
-        if ended_at - started_at < MIN_WINDOW_S:
+        last = self._samples[-1]
+        first = next(
+            sample
+            for sample in self._samples
+            if last[0] - sample[0] <= DEMAND_WINDOW_S
+        )
+        if last[0] - first[0] < MIN_WINDOW_S:
             return {}
-        return {
-            model: (total - before.get(model, 0.0)) / (ended_at - started_at)
-            for model, total in after.items()
-        }
+        return _rates(first, last)
+
+    def summarize(self) -> Demand | None:
+        """Returns mean and peak of the last ``HISTORY_S``.
+
+        The result is ``None`` until samples span ``MIN_SPAN_S``.
+        """
+        samples = list(self._samples)
+        if not samples or samples[-1][0] - samples[0][0] < MIN_SPAN_S:
+            return None
+        peak: dict[str, float] = {}
+        first = 0
+        for last, sample in enumerate(samples):
+            while (
+                first + 1 < last
+                and sample[0] - samples[first + 1][0] >= PEAK_WINDOW_S
+            ):
+                first += 1
+            if sample[0] - samples[first][0] < PEAK_WINDOW_S:
+                continue
+            for model, rate in _rates(samples[first], sample).items():
+                peak[model] = max(peak.get(model, 0.0), rate)
+        return Demand(_rates(samples[0], samples[-1]), peak)
+
+
+def _rates(first, last) -> dict[str, float]:
+    """Returns the work per second between two samples, by model."""
+    started_at, before = first
+    ended_at, after = last
+    return {
+        model: (total - before.get(model, 0.0)) / (ended_at - started_at)
+        for model, total in after.items()
+    }
--- a/plantainway/supply/_pacing.py
+++ b/plantainway/supply/_pacing.py
@@ -41,6 +41,15 @@
         """
         self._load_starts.append(now)
 
+    def max_concurrent_loads(self) -> int:
+        """Returns how many loads may run at once."""
+        ratio = (
+            CONCURRENT_LOADS_RATIO
+            if self.traffic_seen
+            else STARTUP_LOADS_RATIO
+        )
+        return math.ceil(self.profile.max_concurrent_loads * ratio)
+
     def load_budget(
         self, engines, groups, loading_spares: int, now: float
     ) -> int:
@@ -56,17 +65,11 @@
             now: Monotonic seconds.
         """
         loading = loading_spares + _count_loading_members(engines, groups)
-        ratio = (
-            CONCURRENT_LOADS_RATIO
-            if self.traffic_seen
-            else STARTUP_LOADS_RATIO
-        )
-        max_loads = math.ceil(self.profile.max_concurrent_loads * ratio)
-        free_loads = max(max_loads - loading, 0)
+        free_loads = max(self.max_concurrent_loads() - loading, 0)
         if not self.traffic_seen:
             return free_loads
         self._load_starts = [at for at in self._load_starts if now - at < 1.0]
-        max_starts = int(self.profile.loads_per_s * LOAD_RATE_RATIO)
+        max_starts = max_load_starts(self.profile)
         return min(free_loads, max(max_starts - len(self._load_starts), 0))
 
     def spare_load_budget(
@@ -133,6 +136,15 @@
         return model.warmup_s if staged else self.max_load_s(record.model)
 
 
+def max_load_starts(profile) -> int:
+    """Returns how many loads may start in a second once traffic is seen.
+
+    Args:
+        profile: The engine profile.
+    """
+    return int(profile.loads_per_s * LOAD_RATE_RATIO)
+
+
 def _count_loading_members(engines, groups) -> int:
     """Returns how many members of forming groups have yet to load."""
     return sum(
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -133,8 +133,13 @@
     return member is not None and member.model == model
 
 
-def _join_cost_key(engine, model: str) -> tuple:
-    """Returns a sort key that puts the engines that join fastest first."""
+def join_cost_key(engine, model: str) -> tuple:
+    """Returns a sort key that puts the engines that join fastest first.
+
+    Args:
+        engine: The engine.
+        model: Name of the model.
+    """
     return (
         not _was_in_group_of(engine, model),
         not _is_staged(engine, model),
@@ -247,7 +252,7 @@
         ):
             continue
         ranked = sorted(
-            domain.idle, key=lambda e: _join_cost_key(e, model.name)
+            domain.idle, key=lambda e: join_cost_key(e, model.name)
         )
         chosen = ranked[: model.members]
         loads = sum(not _is_staged(engine, model.name) for engine in chosen)
--- /dev/null
+++ b/tests/supply/test_balance.py
@@ -0,0 +1,430 @@
+"""Tests of the moves of capacity between models."""
+
+import dataclasses
+import math
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from plantainway import clock as clocks
+from plantainway import deployment
+from plantainway.supply import _balance
+from plantainway.supply import _demand
+from plantainway.supply import _plan
+from plantainway.supply import _state
+from tests.supply import test_control
+from tests.supply import test_plan
+
+SWING_S = 17.0
+SWING = 0.55
+
+
+def make_profile(big=12, small=6, load_rate=14.0, loads=20):
+    return dataclasses.replace(
+        test_plan.make_profile(),
+        models=(
+            deployment.ModelProfile('big', big, 0.5, 1.0, 16.0, 1.6),
+            deployment.ModelProfile('small', small, 0.5, 0.6, 12.0, 1.1),
+        ),
+        loads_per_s=load_rate,
+        max_concurrent_loads=loads,
+    )
+
+
+class Site:
+    """Domains in which a balancer decides; its moves take effect at once.
+
+    ``groups`` and ``idle`` hold the groups of the models and the idle
+    engines of each domain.
+    """
+
+    def __init__(self, profile, groups, idle, base=None):
+        self.profile = profile
+        self.clock = clocks.ManualClock()
+        self.balancer = _balance.Balancer(self.clock)
+        self.groups = [dict(zip(('big', 'small'), item)) for item in groups]
+        self.idle = list(idle)
+        total = self.total()
+        self.targets = {
+            name: _plan.GroupTarget(count, 0)
+            for name, count in (base or total).items()
+        }
+        self.moves = []
+
+    def total(self):
+        return {
+            name: sum(item[name] for item in self.groups)
+            for name in ('big', 'small')
+        }
+
+    def views(self, forming=()):
+        views = []
+        for index, groups in enumerate(self.groups):
+            domain = f'd{index}'
+            engines = [
+                test_plan.make_engine(f'{domain}-i{n}', 'big')
+                for n in range(self.idle[index])
+            ]
+            records = {
+                f'{domain}-{model}{n}': _state.GroupRecord(
+                    f'{domain}-{model}{n}',
+                    1,
+                    model,
+                    (f'{domain}-{model}{n}',),
+                    0.0,
+                    {},
+                    opened=domain not in forming,
+                )
+                for model, count in groups.items()
+                for n in range(count)
+            }
+            views.append(
+                _state.DomainView(
+                    domain,
+                    {engine.name: engine for engine in engines},
+                    records,
+                    frozenset(),
+                )
+            )
+        return views
+
+    def plan(self, demand, forming=(), max_loads=27):
+        views = self.views(forming)
+        counts = _plan.GroupCounts(
+            self.total(), self.balancer.correct(self.targets, views)
+        )
+        move = self.balancer.plan(
+            views, self.profile, counts, demand, max_loads
+        )
+        if move is not None:
+            assert move.domain not in self.balancer.domains
+            self.balancer.begin(move, views, self.clock.now() + 25.0)
+            self.moves.append(move)
+        return move
+
+    def correct(self):
+        targets = self.balancer.correct(self.targets, self.views())
+        return {name: target.base for name, target in targets.items()}
+
+    def carry_out(self, move):
+        """Closes and forms the groups of a move."""
+        index = int(move.domain.removeprefix('d'))
+        sizes = {model.name: model.members for model in self.profile.models}
+        self.groups[index][move.donor] -= len(move.closing)
+        self.groups[index][move.receiver] += move.gained
+        self.idle[index] += (
+            len(move.closing) * sizes[move.donor]
+            - move.gained * sizes[move.receiver]
+        )
+        assert self.idle[index] >= _plan.SPARES_PER_DOMAIN
+        self.balancer.remove_ended(self.views())
+
+
+def make_demand(big, small, big_peak=None, small_peak=None):
+    return _demand.Demand(
+        {'big': big, 'small': small},
+        {
+            'big': big if big_peak is None else big_peak,
+            'small': small if small_peak is None else small_peak,
+        },
+    )
+
+
+def make_site(**more):
+    return Site(make_profile(), [(1, 2)] * 6, [3] * 6, **more)
+
+
+@pytest.mark.parametrize(
+    'demand, moves',
+    [
+        ((2.2, 7.4), [('small', 1, 2)]),  # as far as equal utilisation
+        ((1.0, 7.4), [('small', 1, 2)] * 3),
+        ((1.5, 4.6), []),  # below the lowest utilisation that moves pay for
+        ((3.2, 9.0), []),  # within the factor
+        ((2.2, 7.4, 3.5), []),  # the peak of the donor needs its groups
+        ((5.5, 2.0), [('big', 2, 1)] * 4),
+    ],
+)
+def test_moves_by_demand(demand, moves):
+    """Groups move only if demand is unbalanced, and no further than that."""
+    site = make_site()
+    while (move := site.plan(make_demand(*demand))) is not None:
+        assert len(site.moves) < 20
+        site.carry_out(move)
+    assert [
+        (move.receiver, len(move.closing), move.gained) for move in site.moves
+    ] == moves
+
+
+def test_four_small_groups_give_one_large_group():
+    """Engines of one domain are collected for a larger group."""
+    site = Site(make_profile(16, 4), [(1, 4)] * 6, [5] * 6)
+    move = site.plan(make_demand(6.0, 6.0))
+    assert (move.receiver, len(move.closing), move.gained) == ('big', 4, 1)
+
+
+def test_idle_engines_are_preferred_to_closing_a_group():
+    """Engines that register later serve the short model first."""
+    site = make_site()
+    site.idle[4] = 15
+    move = site.plan(make_demand(2.2, 7.4))
+    assert (move.domain, move.closing, move.gained) == ('d4', (), 2)
+    site.carry_out(move)
+    assert site.correct() == {'big': 6, 'small': 14}
+
+
+@pytest.mark.parametrize(
+    'demand, gained, base',
+    [
+        ((2.2, 8.5), 2, {'big': 5, 'small': 14}),
+        ((3.6, 12.0), None, {'big': 6, 'small': 12}),
+    ],
+)
+def test_lost_group_of_the_donor(demand, gained, base):
+    """A lost group is not formed anew if the donor can do without it."""
+    site = make_site()
+    site.groups[2]['big'], site.idle[2] = 0, 14
+    move = site.plan(make_demand(*demand))
+    assert (move and move.gained) == gained
+    if move is not None:
+        site.carry_out(move)
+    assert site.correct() == base
+
+
+@pytest.mark.parametrize(
+    'forming, max_loads, started',
+    [
+        ((), 27, 2),
+        ((), 40, 3),
+        ((), 1, 1),
+        (('d0', 'd1', 'd2', 'd3', 'd4'), 40, 1),
+    ],
+)
+def test_moves_run_in_parallel(forming, max_loads, started):
+    """Moves run in domains where nothing forms, as loads are allowed."""
+    site = Site(make_profile(), [(2, 1)] * 6, [3] * 6)
+    for _tick in range(10):
+        site.plan(make_demand(0.5, 9.0), forming, max_loads)
+    assert len(site.moves) == started
+    assert len({move.domain for move in site.moves}) == started
+
+
+def test_move_ends_and_a_failed_one_is_undone():
+    """Idle engines with its weights give the donor its target back."""
+    site = make_site()
+    move = site.plan(make_demand(2.2, 7.4))
+    site.groups[0]['big'], site.idle[0] = 0, 15
+    site.clock.advance(24.0)
+    assert site.balancer.remove_ended(site.views()) == []
+    site.clock.advance(2.0)
+    assert site.balancer.remove_ended(site.views()) == [(move, False)]
+    assert site.correct() == {'big': 5, 'small': 12}
+    assert site.plan(make_demand(2.2, 3.0)) is None
+    assert site.correct() == {'big': 6, 'small': 12}
+
+
+@pytest.mark.parametrize(
+    'groups, idle, base',
+    [
+        ([(1, 2)] * 6, [3] * 6, (6, 12)),
+        ([(0, 4)] + [(1, 2)] * 5, [3] * 6, (5, 14)),
+        ([(0, 3)] + [(1, 2)] * 5, [9] + [3] * 5, (5, 13)),
+        ([(0, 2)] + [(1, 2)] * 5, [15] + [3] * 5, (6, 12)),  # not loaded
+        ([(0, 2)] * 2 + [(1, 2)] * 4, [3] * 6, (6, 12)),  # lost
+        ([(1, 3)] + [(1, 2)] * 5, [3] * 6, (6, 12)),  # by spares
+    ],
+)
+def test_new_leader_starts_from_what_stands(groups, idle, base):
+    """A move is not undone by a new leader, and losses imply no move."""
+    site = Site(make_profile(), groups, idle, base={'big': 6, 'small': 12})
+    site.balancer.adopt(site.views(), site.profile, site.targets, 1e9)
+    for index, item in enumerate(site.idle):
+        if f'd{index}' in site.balancer.domains:
+            site.groups[index]['small'] += item // 6
+    assert tuple(site.correct().values()) == base
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    level=strategies.floats(0.05, 1.5),
+    ratio=strategies.floats(1.0, 1.45),
+    is_big_higher=strategies.booleans(),
+    idle=strategies.lists(strategies.integers(0, 4), min_size=6, max_size=6),
+)
+def test_balanced_demand_never_moves(level, ratio, is_big_higher, idle):
+    """Models whose demand matches their groups within the factor stay."""
+    site = Site(make_profile(), [(1, 2)] * 6, idle)
+    used = (level * ratio, level) if is_big_higher else (level, level * ratio)
+    assert site.plan(make_demand(6 * used[0], 12 * used[1])) is None
+
+
+@hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+@hypothesis.given(
+    sizes=strategies.sampled_from([(12, 6), (16, 4), (4, 2)]),
+    means=strategies.tuples(
+        strategies.floats(0.3, 12.0), strategies.floats(0.3, 16.0)
+    ),
+    phases=strategies.tuples(
+        strategies.floats(0.0, SWING_S), strategies.floats(0.0, SWING_S)
+    ),
+    load_s=strategies.floats(1.0, 20.0),
+)
+def test_swing_moves_nothing_back(sizes, means, phases, load_s):
+    """A swinging demand moves groups one way, and within the peak.
+
+    Over 50 s no model gives and gains groups, and no donor is left with
+    fewer groups than its measured peak needs with headroom.
+    """
+    site = Site(make_profile(*sizes), [(1, 4)] * 6, [3] * 6)
+    meter = _demand.DemandMeter(site.clock)
+    work = {'big': 0.0, 'small': 0.0}
+    due = []
+    while site.clock.now() < 50.0:
+        now = site.clock.now()
+        meter.record(dict(work))
+        demand = meter.summarize()
+        open_groups = site.total()
+        for finished in [item for item in due if item[0] <= now]:
+            due.remove(finished)
+            site.carry_out(finished[1])
+        move = site.plan(demand)
+        if move is not None:
+            due.append((now + load_s, move))
+            if move.closing:
+                left = open_groups[move.donor] - len(move.closing)
+                assert left >= 1.5 * demand.peak[move.donor]
+        for name, mean, phase in zip(work, means, phases):
+            swing = math.sin(2 * math.pi * (now + phase) / SWING_S)
+            work[name] += 0.2 * mean * (1 + SWING * swing)
+        site.clock.advance(0.2)
+    closed = {move.donor for move in site.moves if move.closing}
+    assert not closed & {move.receiver for move in site.moves}
+
+
+def test_mean_and_peak_of_demand():
+    """Work before the first request counts in neither mean nor peak."""
+    clock = clocks.ManualClock()
+    meter = _demand.DemandMeter(clock)
+    total = 0.0
+    for second in range(30):
+        meter.record({'big': total})
+        assert (meter.summarize() is None) is (second < 14)
+        total += 0.0 if second < 10 else 4.0 if second in (14, 15) else 1.0
+        clock.advance(1.0)
+    demand = meter.summarize()
+    assert demand.peak == {'big': pytest.approx(4.0)}
+    assert demand.mean == {'big': pytest.approx(23 / 17)}
+    meter.clear()
+    assert meter.summarize() is None
+
+
+class _Fleet(test_control.Harness):
+    """A controller of two models with demand; ``busy`` is by model."""
+
+    def __init__(self, busy):
+        profile = dataclasses.replace(
+            test_plan.make_profile(), loads_per_s=14.0, max_concurrent_loads=20
+        )
+        domain = ('big',) * 9 + ('small',) * 5
+        super().__init__({f'd{n}': domain for n in range(3)}, profile=profile)
+        self.busy = busy
+        self.work = dict.fromkeys(busy, 0.0)
+
+    async def run_traffic(self, seconds):
+        self.engines.load_ratio = 1.0
+        for _tick in range(round(seconds / self.step_s)):
+            for name, busy in self.busy.items():
+                self.work[name] += busy * self.step_s
+            self.control.update_demand(dict(self.work))
+            await self.run(self.step_s)
+
+    def counts(self):
+        return self.open_groups('big'), self.open_groups('small')
+
+
+@pytest.mark.parametrize(
+    'busy, after',
+    [
+        ({'big': 0.5, 'small': 4.7}, (3, 12)),
+        ({'big': 3.0, 'small': 2.5}, (6, 6)),
+    ],
+)
+async def test_groups_follow_the_demand(busy, after):
+    """A group of four becomes two of two, while spares remain."""
+    fleet = _Fleet(busy)
+    await fleet.run(8.0)
+    assert fleet.counts() == (6, 6)
+    await fleet.run_traffic(3.5)
+    assert fleet.counts() == (6, 6)
+    await fleet.run_traffic(20.0)
+    assert fleet.counts() == after
+
+
+async def _begin_moves():
+    """Returns a fleet that has just begun three moves."""
+    fleet = _Fleet({'big': 0.5, 'small': 4.2})
+    await fleet.run(8.0)
+    await fleet.run_traffic(4.3)
+    assert fleet.counts()[0] < 6
+    return fleet
+
+
+def _spares(fleet, domain):
+    return sorted(
+        engine.staged
+        for engine in fleet.engines.by_name.values()
+        if engine.domain == domain and not engine.group and not engine.is_dead
+    )
+
+
+async def test_moved_groups_have_spares():
+    """The spares of a domain are left over by a move."""
+    fleet = await _begin_moves()
+    await fleet.run_traffic(15.0)
+    assert fleet.counts() == (3, 12)
+    for domain in ('d0', 'd1', 'd2'):
+        assert _spares(fleet, domain) == ['big', 'small']
+
+
+@pytest.mark.parametrize('wait_s', [0.0, 3.0])
+async def test_leader_changes_during_a_move(wait_s):
+    """The new leader goes on with loaded engines and moves nothing back."""
+    fleet = await _begin_moves()
+    await fleet.run_traffic(wait_s)
+    fleet.elect_controller(term=2)
+    lowest = fleet.counts()
+    await fleet.run_traffic(40.0)
+    assert fleet.counts() == (3, 12)
+    assert fleet.engines.load_count <= 16
+    assert lowest[1] == 6
+    assert fleet.engines.stolen_heads == []
+
+
+@pytest.mark.parametrize('lost, after', [(1, (3, 12)), (3, (3, 11))])
+async def test_engine_lost_while_it_loads(lost, after):
+    """Another idle engine loads instead, else fewer groups are formed."""
+    fleet = await _begin_moves()
+    await fleet.run_traffic(3.0)
+    loading = [
+        engine
+        for engine in fleet.engines.by_name.values()
+        if engine.domain == 'd0' and engine.group.startswith('w')
+    ]
+    for engine in loading[:lost]:
+        engine.is_dead = True
+    await fleet.run_traffic(30.0)
+    assert fleet.counts() == after
+
+
+async def test_no_move_begins_without_the_store():
+    """Old entries do not show which groups could be closed."""
+    fleet = _Fleet({'big': 0.5, 'small': 4.2})
+    await fleet.run(8.0)
+    await fleet.run_traffic(2.0)
+    fleet.engines.is_store_down = True
+    await fleet.run_traffic(8.0)
+    assert fleet.counts() == (6, 6)
+    fleet.engines.is_store_down = False
+    await fleet.run_traffic(1.0)
+    assert fleet.counts()[0] < 6
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -33,7 +33,7 @@
     ``step_s`` is the time between two ticks of the controller.
     """
 
-    def __init__(self, domains, step_s=STEP_S):
+    def __init__(self, domains, step_s=STEP_S, profile=None):
         self.step_s = step_s
         self.settles_at = float('-inf')
         self.clock = clocks.ManualClock()
@@ -42,7 +42,7 @@
             for domain, weights in domains.items()
             for n, staged in enumerate(weights)
         ]
-        profile = test_plan.make_profile()
+        profile = profile or test_plan.make_profile()
         self.engines = fake_engines.FakeEngines(profile, self.clock, engines)
         self.lease = _Lease()
         self.tasks: set[asyncio.Task] = set()
