End a move at once that has lost too many engines

A domain that lost engines while others loaded kept its move until the deadline, 30 s for a load of 16 s, and no other move could use the loaded engines. Domains with many idle engines are now preferred, too.

Evidence: tests/supply and tests/edge pass.

--- a/plantainway/supply/_balance.py
+++ b/plantainway/supply/_balance.py
@@ -143,11 +143,15 @@
                 ) + progress.missing(view)
         return missing
 
-    def remove_ended(self, views) -> list[tuple[Move, bool]]:
+    def remove_ended(self, views, profile) -> list[tuple[Move, bool]]:
         """Removes the moves that have ended.
 
+        A move also ends if its domain has lost so many engines that the
+        next group can't be formed.
+
         Args:
             views: The fabric domains.
+            profile: The engine profile.
 
         Returns:
             The moves, each with whether the receiver has got its groups.
@@ -157,19 +161,25 @@
         ended = []
         for domain, progress in list(self._moves.items()):
             view = by_domain.get(domain)
-            is_done = (
-                view is not None
-                and _count_groups(view, progress.move.receiver, only_open=True)
-                >= progress.target
-            )
-            if is_done or view is None or now > progress.deadline:
-                del self._moves[domain]
-                self._corrections[progress.move.receiver] -= (
-                    progress.missing(view)
-                    if view is not None
-                    else progress.move.gained
+            missing = progress.move.gained
+            is_done = False
+            if view is not None:
+                missing = progress.missing(view)
+                is_done = (
+                    _count_groups(view, progress.move.receiver, only_open=True)
+                    >= progress.target
                 )
-                ended.append((progress.move, is_done))
+                if (
+                    not is_done
+                    and now <= progress.deadline
+                    and (
+                        not missing or _can_form(view, profile, progress.move)
+                    )
+                ):
+                    continue
+            del self._moves[domain]
+            self._corrections[progress.move.receiver] -= missing
+            ended.append((progress.move, is_done))
         return ended
 
     def plan(
@@ -269,8 +279,9 @@
             )
             # Engines that have loaded the model leave before they are idle.
             loaded = sum(
-                model == receiver.name for model in view.loading.values()
-            ) + len(_ungrouped_engines(view, receiver.name))
+                receiver.name in (view.loading.get(e.name), *e.upstream.staged)
+                for e in _ungrouped_engines(view)
+            )
             wanted = (
                 missing * receiver.members
                 + _plan.SPARES_PER_DOMAIN
@@ -353,8 +364,8 @@
 def _choose_move(views, profile, counts, demand, pair) -> Move | None:
     """Returns the best allowed move of a pair of models.
 
-    Prefers to close few groups, then a large gain, then a domain with few
-    groups of the receiver.
+    Prefers to close few groups, then a large gain, then a domain with many
+    idle engines and few groups of the receiver.
     """
     best = None
     for view in views:
@@ -366,6 +377,8 @@
         key = (
             len(found.closing),
             -found.gained,
+            # Engines that die while the others load need a replacement.
+            -len(_plan.idle_engines(view)),
             _count_groups(view, pair.receiver.name),
             view.domain,
         )
@@ -498,21 +511,27 @@
     }
 
 
-def _ungrouped_engines(view, model: str) -> list:
-    """Returns the usable engines with a model's weights, in no group."""
+def _ungrouped_engines(view) -> list:
+    """Returns the usable engines of a domain that are in no group."""
     grouped = {
         name for record in view.groups.values() for name in record.members
     }
     return [
         engine
         for name, engine in view.engines.items()
-        if engine.is_usable
-        and name not in grouped
-        and name not in view.loading
-        and model in engine.upstream.staged
+        if engine.is_usable and name not in grouped
     ]
 
 
+def _can_form(view, profile, move) -> bool:
+    """Returns whether a move has the engines for its next group."""
+    return (
+        any(name in view.groups for name in move.closing)
+        or len(_ungrouped_engines(view))
+        >= profile.find_model(move.receiver).members
+    )
+
+
 def _formable_groups(view, model) -> int:
     """Returns how many groups idle and loading engines can form.
 
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -288,7 +288,7 @@
     def _balance(self, engines, now: float, as_of: float) -> None:
         """Begins and continues moves of capacity between models."""
         views = self._domain_views(engines)
-        for move, is_done in self._balancer.remove_ended(views):
+        for move, is_done in self._balancer.remove_ended(views, self.profile):
             logs.event(
                 'rebalance_ended',
                 service=self.service,
--- a/tests/supply/test_balance.py
+++ b/tests/supply/test_balance.py
@@ -118,7 +118,7 @@
             - move.gained * sizes[move.receiver]
         )
         assert self.idle[index] >= _plan.SPARES_PER_DOMAIN
-        self.balancer.remove_ended(self.views())
+        self.balancer.remove_ended(self.views(), self.profile)
 
 
 def make_demand(big, small, big_peak=None, small_peak=None):
@@ -216,9 +216,11 @@
     move = site.plan(make_demand(2.2, 7.4))
     site.groups[0]['big'], site.idle[0] = 0, 15
     site.clock.advance(24.0)
-    assert site.balancer.remove_ended(site.views()) == []
+    assert site.balancer.remove_ended(site.views(), site.profile) == []
     site.clock.advance(2.0)
-    assert site.balancer.remove_ended(site.views()) == [(move, False)]
+    assert site.balancer.remove_ended(site.views(), site.profile) == [
+        (move, False)
+    ]
     assert site.correct() == {'big': 5, 'small': 12}
     assert site.plan(make_demand(2.2, 3.0)) is None
     assert site.correct() == {'big': 6, 'small': 12}
