--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1323,6 +1323,128 @@
         '        if False:',
         'tests/traffic/test_stream.py',
     ),
+    Mutant(
+        'a donor keeps what its peak needs',
+        'plantainway/supply/_balance.py',
+        '    if left < 1 or demand.peak.get(name, '
+        '0.0) * DONOR_HEADROOM > left:\n',
+        '    if left < 1:\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'moves end at equal utilisation',
+        'plantainway/supply/_balance.py',
+        '    return demand.mean.get(name, 0.0) / left <= demand.mean[\n'
+        '        pair.receiver.name\n'
+        '    ] / (pair.groups + move.gained)\n',
+        '    return True\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'models within a factor see no move',
+        'plantainway/supply/_balance.py',
+        'used >= MIN_IMBALANCE_RATIO * donor_used',
+        'used > donor_used',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'little used models gain nothing',
+        'plantainway/supply/_balance.py',
+        '        if used < MIN_UTILIZATION:\n',
+        '        if used <= 0.0:\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'a model that has gained groups gives none away',
+        'plantainway/supply/_balance.py',
+        '            if self._held_until.get(pair.donor.name, now) <= now\n',
+        '            if True\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'one move at a time in a domain',
+        'plantainway/supply/_balance.py',
+        'free = [view for view in views if view.domain not in self._moves]',
+        'free = views',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'loads of all moves fit the weight store',
+        'plantainway/supply/_balance.py',
+        'if not pending_loads or pending_loads + loads <= max_loads:',
+        'if True:',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'no move in a domain where a group is formed',
+        'plantainway/supply/_balance.py',
+        '            record.opened and record.closing_since is None\n'
+        '            for',
+        '            True\n            for',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'other spares do not form the groups of a move',
+        'plantainway/supply/_balance.py',
+        '                    - missing.get(name, 0),\n',
+        '                    - 0,\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'a new leader keeps what has been moved',
+        'plantainway/supply/_balance.py',
+        'self._corrections = '
+        '_standing_corrections(profile, targets, standing)',
+        'self._corrections = {}',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'groups of a move are formed by the new leader, too',
+        'plantainway/supply/_balance.py',
+        '                if formable > 0 and '
+        'view.domain not in self._moves:\n',
+        '                if False:\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'a failed move gives the donor its groups back',
+        'plantainway/supply/_balance.py',
+        '        if not pairs and not self._moves:\n',
+        '        if False:\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'a move without enough engines ends',
+        'plantainway/supply/_balance.py',
+        '        or len(_ungrouped_engines(view)) >= receiver.members\n',
+        '        or True\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'spares do not load in place of engines that leave',
+        'plantainway/supply/_balance.py',
+        '            if _has_leaving(view) or any(\n'
+        '                name in view.groups for name '
+        'in progress.move.closing\n'
+        '            ):\n',
+        '            if False:\n',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'no move begins on old entries',
+        'plantainway/supply/_control.py',
+        'if now - as_of <= STALE_ENTRIES_S and '
+        'self._is_registration_done(now):',
+        'if self._is_registration_done(now):',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'demand of an earlier term is dropped',
+        'plantainway/supply/_control.py',
+        '        self._demand.clear()\n',
+        '',
+        'tests/supply/test_balance.py',
+    ),
 )
 
 
--- a/plantainway/supply/_balance.py
+++ b/plantainway/supply/_balance.py
@@ -55,6 +55,11 @@
         missing = self.target - _count_groups(view, self.move.receiver)
         return min(max(missing, 0), self.move.gained)
 
+    def is_done(self, view) -> bool:
+        """Returns whether all groups of the move are open."""
+        groups = _count_groups(view, self.move.receiver, only_open=True)
+        return groups >= self.target
+
 
 class Balancer:
     """Decides when capacity moves between models, and tracks the moves.
@@ -147,7 +152,7 @@
         """Removes the moves that have ended.
 
         A move also ends if its domain has lost so many engines that the
-        next group can't be formed.
+        next group can't be formed, or if its receiver is not in the profile.
 
         Args:
             views: The fabric domains.
@@ -161,20 +166,15 @@
         ended = []
         for domain, progress in list(self._moves.items()):
             view = by_domain.get(domain)
-            missing = progress.move.gained
-            is_done = False
-            if view is not None:
+            if view is None:
+                is_done, missing = False, progress.move.gained
+            else:
+                is_done = progress.is_done(view)
                 missing = progress.missing(view)
-                is_done = (
-                    _count_groups(view, progress.move.receiver, only_open=True)
-                    >= progress.target
-                )
                 if (
                     not is_done
                     and now <= progress.deadline
-                    and (
-                        not missing or _can_form(view, profile, progress.move)
-                    )
+                    and _can_go_on(view, profile, progress)
                 ):
                     continue
             del self._moves[domain]
@@ -523,12 +523,13 @@
     ]
 
 
-def _can_form(view, profile, move) -> bool:
+def _can_go_on(view, profile, progress) -> bool:
     """Returns whether a move has the engines for its next group."""
-    return (
-        any(name in view.groups for name in move.closing)
-        or len(_ungrouped_engines(view))
-        >= profile.find_model(move.receiver).members
+    receiver = profile.find_model(progress.move.receiver)
+    return receiver is not None and (
+        not progress.missing(view)
+        or any(name in view.groups for name in progress.move.closing)
+        or len(_ungrouped_engines(view)) >= receiver.members
     )
 
 
--- a/tests/supply/test_balance.py
+++ b/tests/supply/test_balance.py
@@ -157,6 +157,22 @@
     ] == moves
 
 
+def test_no_move_beyond_equal_utilisation():
+    """With few groups one move could make the opposite one due."""
+    site = Site(make_profile(), [(1, 2)] * 2, [3] * 2)
+    assert site.plan(make_demand(0.6, 2.6)) is None
+    assert site.plan(make_demand(0.2, 2.6)) is not None
+
+
+@pytest.mark.parametrize('wait_s, moved', [(33.0, False), (35.0, True)])
+def test_receiver_keeps_its_groups(wait_s, moved):
+    """A model that has just gained groups gives none away."""
+    site = make_site()
+    site.carry_out(site.plan(make_demand(2.2, 7.4)))
+    site.clock.advance(wait_s)
+    assert (site.plan(make_demand(5.0, 2.0)) is not None) is moved
+
+
 def test_four_small_groups_give_one_large_group():
     """Engines of one domain are collected for a larger group."""
     site = Site(make_profile(16, 4), [(1, 4)] * 6, [5] * 6)
@@ -210,6 +226,17 @@
     assert len({move.domain for move in site.moves}) == started
 
 
+def test_spares_do_not_load_while_the_group_closes():
+    """They may have to repair other groups for as long as that takes."""
+    site = make_site()
+    site.plan(make_demand(2.2, 7.4))
+    go_on = site.balancer.continue_moves
+    assert go_on(site.views(), site.profile, 8) == []
+    site.groups[0]['big'], site.idle[0] = 0, 15
+    assert len(go_on(site.views(), site.profile, 8)) == 8
+    assert len(go_on(site.views(), site.profile, 20)) == 14
+
+
 def test_move_ends_and_a_failed_one_is_undone():
     """Idle engines with its weights give the donor its target back."""
     site = make_site()
@@ -226,6 +253,22 @@
     assert site.correct() == {'big': 6, 'small': 12}
 
 
+@pytest.mark.parametrize('fault', ['no_engines', 'no_domain', 'no_model'])
+def test_move_that_can_not_go_on_ends(fault):
+    """Engines of the domain are free for other groups at once."""
+    site = make_site()
+    move = site.plan(make_demand(2.2, 7.4))
+    site.groups[0]['big'], site.idle[0] = 0, 6
+    assert site.balancer.remove_ended(site.views(), site.profile) == []
+    site.idle[0] = 5 if fault == 'no_engines' else 15
+    views = site.views()[1 if fault == 'no_domain' else 0 :]
+    profile = site.profile
+    if fault == 'no_model':
+        profile = dataclasses.replace(profile, models=profile.models[:1])
+    assert site.balancer.remove_ended(views, profile) == [(move, False)]
+    assert site.correct() == {'big': 5, 'small': 12}
+
+
 @pytest.mark.parametrize(
     'groups, idle, base',
     [
@@ -430,3 +473,14 @@
     fleet.engines.is_store_down = False
     await fleet.run_traffic(1.0)
     assert fleet.counts()[0] < 6
+
+
+async def test_work_of_an_earlier_term_is_no_demand():
+    """The totals of a node that leads again rise by all work since then."""
+    fleet = _Fleet({'big': 3.0, 'small': 2.5})
+    await fleet.run(8.0)
+    await fleet.run_traffic(6.0)
+    fleet.lease.term = 2
+    fleet.work['small'] += 100.0
+    await fleet.run_traffic(6.0)
+    assert fleet.counts() == (6, 6)
