A failed move keeps the receiver's own target

A move that only loads idle engines for a group that the receiver had lost took that group out of the receiver's target when it failed. Found by reading the code. Only what the move had added is taken back now.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1420,6 +1420,13 @@
         '        or True\n',
         'tests/supply/test_balance.py',
     ),
+    Mutant(
+        'a failed move keeps the target of the receiver',
+        'plantainway/supply/_balance.py',
+        '-= min(missing, added)',
+        '-= missing',
+        'tests/supply/test_balance.py',
+    ),
     Mutant(
         'spares do not load in place of engines that leave',
         'plantainway/supply/_balance.py',
--- a/plantainway/supply/_balance.py
+++ b/plantainway/supply/_balance.py
@@ -104,12 +104,16 @@
         }
         self._corrections = _standing_corrections(profile, targets, standing)
         for model in profile.models:
-            left = self._corrections.get(model.name, 0)
+            left = max(self._corrections.get(model.name, 0), 0)
             for view in views:
                 formable = min(_formable_groups(view, model), left)
                 if formable > 0 and view.domain not in self._moves:
                     left -= formable
-                    move = Move(view.domain, '', model.name, (), formable, {})
+                    added = {model.name: formable}
+                    move = Move(
+                        view.domain, '', model.name, (), formable, added
+                    )
+                    self._corrections[model.name] -= formable
                     self.begin(move, views, deadline)
 
     def correct(self, targets: dict, views) -> dict:
@@ -178,7 +182,9 @@
                 ):
                     continue
             del self._moves[domain]
-            self._corrections[progress.move.receiver] -= missing
+            # Groups that the receiver had before count in its share.
+            added = progress.move.corrections[progress.move.receiver]
+            self._corrections[progress.move.receiver] -= min(missing, added)
             ended.append((progress.move, is_done))
         return ended
 
--- a/tests/supply/test_balance.py
+++ b/tests/supply/test_balance.py
@@ -208,6 +208,18 @@
     assert site.correct() == base
 
 
+def test_failed_load_of_a_lost_group_keeps_the_target():
+    """A group of 16, too large for form_groups, is loaded where it was."""
+    site = Site(make_profile(16, 4, 18.0), [(1, 4)] * 6, [5] * 6)
+    site.groups[2]['big'], site.idle[2] = 0, 21
+    move = site.plan(make_demand(6.0, 6.0))
+    assert (move.domain, move.closing, move.gained) == ('d2', (), 1)
+    assert site.correct() == {'big': 5, 'small': 24}
+    site.idle[2] = 10
+    assert site.balancer.remove_ended(site.views(), site.profile)
+    assert site.correct() == {'big': 6, 'small': 24}
+
+
 @pytest.mark.parametrize(
     'forming, max_loads, started',
     [
