--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -201,8 +201,9 @@
                 break
         if found is None:
             break
-        load_budget -= found[-1]
-        actions.append(_form(*found, model, counts))
+        domain, chosen, loads = found
+        load_budget -= loads
+        actions.append(_form(domain, chosen, model, counts))
     for domain in domains:
         if domain.is_evacuated:
             actions += _replace_groups(
@@ -211,7 +212,7 @@
     return actions
 
 
-def _form(domain, chosen, _loads, model, counts) -> _state.Form:
+def _form(domain, chosen, model, counts) -> _state.Form:
     """Forms a group of idle engines and counts it."""
     names = tuple(engine.name for engine in chosen)
     counts.current[model.name] = counts.current.get(model.name, 0) + 1
@@ -238,9 +239,10 @@
             )
             if found is None:
                 break
-            load_budget -= found[-1]
+            _domain, chosen, loads = found
+            load_budget -= loads
             domain.missing[model.name] -= 1
-            actions.append(_form(*found, model, counts))
+            actions.append(_form(domain, chosen, model, counts))
             counts.evacuated[model.name] = (
                 counts.evacuated.get(model.name, 0) + 1
             )
