Priority across nodes: less urgent requests leave headroom

Cause: each node sorts its own queue by priority, but fills heads with less urgent requests while another node refuses or delays urgent ones of the model.

Change: _admission.PressureBook records for 1 s that a request of a priority was refused, had to wait or was late. Heartbeats and leader updates carry it (pressure_ms, with a default). Meanwhile requests of the model that are less urgent fill three quarters of a head's slots instead of slots + 3, except a quarter of them, drawn at random. Those that wait for that reason hold up no others. Resumed streams neither yield nor exert pressure. With equal priorities choices are as before; the messages have one more field. New metric plantainway_yielded.

Tests: WaitQueue.peek became in_order, as the queue passes over those that yield. test_requests_in_time_go_before_late_ones and test_higher_priority_goes_first in tests/traffic/test_books.py compare the whole order, as strict as before.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -279,6 +279,24 @@
                 total[name] = total.get(name, 0) + count
         return total
 
+    def pressure_ms(self) -> dict[str, dict[int, int]]:
+        """Returns the longest pressure of all nodes, less its age here.
+
+        Returns:
+            Milliseconds by service and model and by priority.
+        """
+        now = self._clock.now()
+        found = [(now, self._own_heartbeat()), *self._heartbeats.values()]
+        longest: dict[str, dict[int, int]] = {}
+        for at, beat in found:
+            for key, by_priority in beat.pressure_ms.items():
+                for priority, left_ms in by_priority.items():
+                    left_ms -= int((now - at) * 1000)
+                    known = longest.get(key, {}).get(priority, 0)
+                    if left_ms > known:
+                        longest.setdefault(key, {})[priority] = left_ms
+        return longest
+
     def total_work(self) -> dict[str, float]:
         """Returns the increase in requested work that heartbeats have shown.
 
@@ -462,6 +480,7 @@
                 limits=self.limits.observations() if includes_limits else None,
                 absent=self.absent_nodes(),
                 unreached=self.unreached(),
+                pressure_ms=self.pressure_ms(),
             )
             shared.encoded[key] = _messages.encode_for_node(update)
         link.sent_nodes = shared.nodes
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -59,7 +59,9 @@
     the last message of the leader on this link, 0 before the first, and
     ``message_age_ms`` the time since its receipt, or since the link was made.
     ``reached`` answers the leader's questions whether the node reaches an
-    engine, by number.
+    engine, by number. ``pressure_ms`` is for how much longer less urgent
+    requests leave headroom, by ``service/model`` and by the priority that was
+    refused, queued or late on this node.
     """
 
     info: NodeInfo
@@ -81,6 +83,9 @@
     message_number: int = 0
     message_age_ms: int = 0
     reached: dict[int, bool] = dataclasses.field(default_factory=dict)
+    pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,7 +175,8 @@
     known limits of upstreams, ``None`` if they are unchanged since the last
     update to this node; ``absent`` names the nodes that may be using shares
     of them without being in touch. ``unreached`` names engines that the
-    leader does not reach, by number of the question.
+    leader does not reach, by number of the question. ``pressure_ms`` is as in
+    the heartbeat, the longest of all nodes.
     """
 
     leader: str
@@ -186,6 +192,9 @@
     limits: list[ratelimits.LimitObservation] | None = None
     absent: list[str] = dataclasses.field(default_factory=list)
     unreached: dict[int, str] = dataclasses.field(default_factory=dict)
+    pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 _TAGS = {
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -64,6 +64,7 @@
             quarantined_ms=self._dependencies.quarantine.remaining_ms(),
             shares=self._shares(),
             reached=self._answers(),
+            pressure_ms=self._dependencies.heads.pressure.remaining_ms(),
         )
 
     def report_suspect(self, head: str) -> None:
@@ -107,6 +108,7 @@
             Whether the leader asks for more than the last heartbeat held.
         """
         self.set_node_count(node_count)
+        self._dependencies.heads.pressure.merge(update.pressure_ms)
         self.update_other_loads(update.loads, sent_loads)
         self.mark_heads_closed(update.closed)
         self.mark_heads_open(
--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -45,6 +45,14 @@
         for model, count in state['queues'].items():
             waiting.add_metric([model], count)
         yield waiting
+        yielded = core.CounterMetricFamily(
+            'plantainway_yielded',
+            'Requests that left headroom to more urgent ones',
+            labels=['model'],
+        )
+        for model, count in state['yielded'].items():
+            yielded.add_metric([model], count)
+        yield yielded
         ended = core.CounterMetricFamily(
             'plantainway_requests', 'Requests ended', labels=['kind', 'end']
         )
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -456,6 +456,7 @@
             self._controllers.probe_suspects(beat.suspects)
         self._quarantine.handle_heartbeat(beat)
         self._witness.handle_answers(beat.info.node, beat.reached)
+        self._dependencies.heads.pressure.merge(self._hub.pressure_ms())
         self._leader_sync.update_other_loads(
             self._hub.total_loads(), self._dependencies.loads.local_counts
         )
@@ -565,6 +566,7 @@
             'in_progress': self._gateway.in_progress,
             'loads': dict(self._dependencies.loads.local_counts),
             'queues': self._dependencies.heads.dump(),
+            'yielded': dict(self._dependencies.heads.yielded),
             'nodes': [item.node for item in self._known_nodes()],
             'store_calls': self._store.call_count,
             'relayed_bytes': self._hub.sent_bytes,
--- a/plantainway/traffic/_admission.py
+++ b/plantainway/traffic/_admission.py
@@ -1,13 +1,18 @@
-"""Expected time to the first event of a request at a head.
+"""Expected time to the first event, and headroom for urgent requests.
 
-It addresses heads that take requests beyond what they can start in time. One
-estimate serves the choice of a head, the order of waiting requests and their
+The estimate addresses heads that take requests beyond what they can start in
+time. It serves the choice of a head, the order of waiting requests and their
 refusal. docs/design/placement.md explains it.
 """
 
 import math
 
 PASS_WAIT_PASSES = 0.5  # a request arrives in the middle of a pass on average
+PRESSURE_S = 1.0  # for which a refused, queued or late request counts
+# Part of the slots that less urgent requests may fill. The rest takes what
+# arrives at a head of 24 slots until the nodes know its load (0.3 to 0.5 s).
+YIELDING_SLOTS = 0.75
+EXEMPT_SHARE = 0.25  # of the less urgent requests, so that none starve
 
 
 def expected_first_event_s(
@@ -72,3 +77,97 @@
     answer_s = profile.typical_answer_tokens * step_s
     # Profiles may lack figures; the requests then count as short ones.
     return read_s, max(read_s + answer_s, 0.001)
+
+
+def ceiling(max_load: int, slots: int, yields: bool) -> int:
+    """Returns how many requests a head may hold after one more.
+
+    Args:
+        max_load: The limit without a reservation.
+        slots: Slots of the head.
+        yields: Whether the request leaves headroom to more urgent ones.
+    """
+    if not yields:
+        return max_load
+    return min(max_load, max(int(slots * YIELDING_SLOTS), 1))
+
+
+class PressureBook:
+    """Knows of which models urgent requests were refused, queued or late.
+
+    It addresses nodes that fill heads with less urgent requests while other
+    nodes refuse more urgent ones of the same model. A record lasts
+    ``PRESSURE_S``. Each node reports only its own.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._own: dict[str, dict[int, float]] = {}
+        self._others: dict[str, dict[int, float]] = {}
+
+    def record(self, key: str, priority: int) -> None:
+        """Records that a request was refused, queued or late.
+
+        Args:
+            key: Service and model as ``service/model``.
+            priority: Its priority; negative ones, of resumed streams, are
+                ignored.
+        """
+        if priority >= 0:
+            until = self._clock.now() + PRESSURE_S
+            self._own.setdefault(key, {})[priority] = until
+
+    def is_above(self, key: str, priority: int) -> bool:
+        """Returns whether more urgent requests of a model are affected.
+
+        Args:
+            key: Service and model.
+            priority: A priority; lower numbers are more urgent.
+        """
+        now = self._clock.now()
+        return priority >= 0 and any(
+            other < priority and until > now
+            for book in (self._own, self._others)
+            for other, until in book.get(key, {}).items()
+        )
+
+    def remaining_ms(self) -> dict[str, dict[int, int]]:
+        """Returns how much longer the records of this node last.
+
+        Returns:
+            Milliseconds by service and model and by priority.
+        """
+        now = self._clock.now()
+        self._own = _unexpired(self._own, now)
+        return {
+            key: {
+                priority: math.ceil((until - now) * 1000)
+                for priority, until in found.items()
+            }
+            for key, found in self._own.items()
+        }
+
+    def merge(self, remaining_ms: dict[str, dict[int, int]]) -> None:
+        """Adds the records of other nodes.
+
+        Args:
+            remaining_ms: As in ``remaining_ms``.
+        """
+        now = self._clock.now()
+        self._others = _unexpired(self._others, now)
+        for key, found in remaining_ms.items():
+            known = self._others.setdefault(key, {})
+            for priority, left_ms in found.items():
+                until = now + min(left_ms / 1000, PRESSURE_S)
+                known[priority] = max(until, known.get(priority, until))
+
+
+def _unexpired(book, now: float) -> dict[str, dict[int, float]]:
+    lasting = {
+        key: {prio: until for prio, until in found.items() if until > now}
+        for key, found in book.items()
+    }
+    return {key: found for key, found in lasting.items() if found}
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -1,6 +1,7 @@
 """Assigns requests to the heads of the open groups of a model."""
 
 import asyncio
+import collections
 import dataclasses
 
 from plantainway import deployment
@@ -46,6 +47,11 @@
         rates: Permits for heads that limit their rate.
         clock: Source of monotonic time.
         rng: Source of randomness.
+
+    Attributes:
+        pressure: Which models have urgent requests that are affected.
+        yielded: Numbers of requests that had to leave headroom, by service
+            and model.
     """
 
     def __init__(self, upstreams, health, stalls, loads, rates, clock, rng):
@@ -57,6 +63,8 @@
         self._clock = clock
         self._rng = rng
         self._engines: dict[str, deployment.EngineProfile] = {}
+        self.pressure = _admission.PressureBook(clock)
+        self.yielded: collections.Counter = collections.Counter()
         self._full_until: dict[str, float] = {}
         self._closed_memberships: dict[str, deployment.Membership] = {}
         self._queues: dict[tuple[str, str], _queue.WaitQueue] = {}
@@ -97,12 +105,43 @@
     def _max_load(self, head) -> int:
         return head.slots + MAX_QUEUED_PER_GROUP
 
-    def _with_capacity(self, heads) -> list:
+    def _room(self, head, yields: bool) -> int:
+        limit = _admission.ceiling(self._max_load(head), head.slots, yields)
+        return limit - self._loads.total(head.name)
+
+    def _yields(self, service, model, entry) -> bool:
+        """Returns whether a request leaves headroom to more urgent ones.
+
+        Requests of the exempt share don't.
+        """
+        key = f'{service}/{model}'
+        if not self.pressure.is_above(key, entry.priority):
+            return False
+        if entry.is_exempt is None:
+            entry.is_exempt = self._rng.random() < _admission.EXEMPT_SHARE
+            self.yielded[key] += not entry.is_exempt
+        return not entry.is_exempt
+
+    def record_late(self, service: str, model: str, priority: int) -> None:
+        """Records a stream whose first event came after its target.
+
+        Args:
+            service: Name of the service.
+            model: Name of the model.
+            priority: Priority of the request.
+        """
+        self.pressure.record(f'{service}/{model}', priority)
+
+    def _record_held_up(self, service, model, entry) -> None:
+        """Records a request that was refused or has to wait."""
+        if not self._yields(service, model, entry):
+            self.record_late(service, model, entry.priority)
+
+    def _with_capacity(self, heads, yields: bool) -> list:
         return [
             item
             for item in heads
-            if self._loads.total(item.name) < self._max_load(item)
-            and not self._is_full(item.name)
+            if self._room(item, yields) > 0 and not self._is_full(item.name)
         ]
 
     def _min_load(self, heads) -> float:
@@ -111,12 +150,9 @@
             default=float('inf'),
         )
 
-    def _choose_head(self, heads, entry):
-        available = self._with_capacity(heads)
-        rooms = [
-            self._max_load(item) - self._loads.total(item.name)
-            for item in available
-        ]
+    def _choose_head(self, heads, entry, yields: bool):
+        available = self._with_capacity(heads, yields)
+        rooms = [self._room(item, yields) for item in available]
         remaining_s = entry.on_time_until - self._clock.now()
         late_heads = {
             item
@@ -256,7 +292,8 @@
     def _try_reserve_among(
         self, heads, service, model, entry
     ) -> Reservation | None:
-        head = self._choose_head(heads, entry)
+        yields = self._yields(service, model, entry)
+        head = self._choose_head(heads, entry, yields)
         return None if head is None else self._reserve_at(head, service, model)
 
     def _reserve_at(self, head, service, model) -> Reservation:
@@ -289,7 +326,7 @@
         return self._try_reserve_among(unlimited, service, model, entry)
 
     async def _try_reserve_limited(
-        self, unlimited, limited, service, model
+        self, unlimited, limited, service, model, yields
     ) -> Reservation | None:
         """Reserves capacity at a limited head that is less loaded.
 
@@ -300,12 +337,13 @@
             limited: Limited heads.
             service: Name of the service.
             model: Name of the model.
+            yields: Whether the request leaves headroom.
 
         Returns:
             The reservation, ``None`` if another head is the better choice.
         """
-        limited = self._with_capacity(limited)
-        others = self._with_capacity(unlimited)
+        limited = self._with_capacity(limited, yields)
+        others = self._with_capacity(unlimited, yields)
         if not limited or not others:
             return None
         if self._min_load(limited) + LOAD_TOLERANCE >= self._min_load(others):
@@ -320,7 +358,9 @@
             NotRunError: At once, if there is none in time.
         """
         _unlimited, limited = self._split(service, model, entry.excluded_heads)
-        limited = self._with_capacity(limited)
+        limited = self._with_capacity(
+            limited, self._yields(service, model, entry)
+        )
         if not limited:
             raise errors.NotRunError(
                 'all groups are full',
@@ -361,18 +401,30 @@
             NotRunError: If no group outside ``entry.excluded_heads`` is open,
                 or if the request can't be served in time.
         """
+        try:
+            return await self._reserve(service, model, entry)
+        except errors.NotRunError as exc:
+            if exc.reason != 'unavailable':
+                self._record_held_up(service, model, entry)
+            raise
+
+    async def _reserve(self, service, model, entry) -> Reservation:
         queue = self._queue_for(service, model)
         unlimited, limited = self._split(service, model, entry.excluded_heads)
         if limited:
             reservation = await self._try_reserve_limited(
-                unlimited, limited, service, model
+                unlimited,
+                limited,
+                service,
+                model,
+                self._yields(service, model, entry),
             )
             if reservation is not None:
                 return reservation
             unlimited, limited = self._split(
                 service, model, entry.excluded_heads
             )
-        if not len(queue):
+        if not self._has_ahead(service, model, queue, entry):
             reservation = self._try_reserve_among(
                 unlimited, service, model, entry
             )
@@ -392,12 +444,24 @@
         try:
             self._ensure_one_returns(service, model, entry)
             self._update_start_latency(queue, unlimited)
+            self._record_held_up(service, model, entry)
             return await self._reserve_queued(queue, entry)
         except errors.NotRunError as exc:
             if exc.reason != _types.REASON_LIMITED:
                 raise
             return await self._reserve_limited(service, model, entry)
 
+    def _has_ahead(self, service, model, queue, entry) -> bool:
+        """Returns whether a new request has to wait for others that wait.
+
+        Those that leave headroom don't hold up one that need not.
+        """
+        if not len(queue) or self._yields(service, model, entry):
+            return len(queue) > 0
+        return any(
+            not self._yields(service, model, item) for item in queue.in_order()
+        )
+
     async def _reserve_queued(self, queue, entry) -> Reservation:
         if not queue.may_wait(entry):
             raise errors.NotRunError(
@@ -455,7 +519,11 @@
             self._dispatch(service, model, queue)
 
     def _dispatch(self, service, model, queue) -> None:
-        while (entry := queue.peek()) is not None:
+        has_headroom_only = False
+        for entry in queue.in_order():
+            yields = self._yields(service, model, entry)
+            if yields and has_headroom_only:
+                continue
             try:
                 reservation = self._try_reserve(service, model, entry)
             except errors.NotRunError as exc:
@@ -463,7 +531,10 @@
                 _fail_if_pending(entry.reservation, exc)
                 continue
             if reservation is None:
-                return
+                if not yields:
+                    return
+                has_headroom_only = True
+                continue
             queue.remove(entry)
             if entry.reservation.done():
                 self._loads.decrement(reservation.head.name)
--- a/plantainway/traffic/_queue.py
+++ b/plantainway/traffic/_queue.py
@@ -23,7 +23,8 @@
     The next event meets its target until ``on_time_until``; the client gives
     up at ``client_gone_at``. ``excluded_heads`` names the heads that already
     had the request. Once queued, ``reservation`` is the future of its
-    reservation. ``prompt_tokens`` is 0 if unknown.
+    reservation. ``prompt_tokens`` is 0 if unknown. ``is_exempt`` tells whether
+    it need not yield to more urgent ones, ``None`` until that is drawn.
     """
 
     priority: int
@@ -33,6 +34,7 @@
     excluded_heads: frozenset = frozenset()
     reservation: 'asyncio.Future | None' = None
     prompt_tokens: int = 0
+    is_exempt: bool | None = None
 
 
 def sort_key(
@@ -130,13 +132,11 @@
         if entry in self._entries:
             self._entries.remove(entry)
 
-    def peek(self) -> QueueEntry | None:
-        """Returns the request to dispatch next, ``None`` if none waits."""
+    def in_order(self) -> list[QueueEntry]:
+        """Returns the waiting requests, the one to dispatch next first."""
         now = self._clock.now()
-        return min(
-            self._entries,
-            key=lambda item: self._sort_key(item, now),
-            default=None,
+        return sorted(
+            self._entries, key=lambda item: self._sort_key(item, now)
         )
 
 
--- a/plantainway/traffic/_stream_attempt.py
+++ b/plantainway/traffic/_stream_attempt.py
@@ -337,11 +337,21 @@
         if not state.is_started:
             if self._head is not None:  # the relay records its own
                 self._deps.outcomes.record_first_event(state.req)
+                self._record_if_late()
             await state.sink.start(response.status, response.headers)
         state.last_event_at = self._deps.clock.now()
         if pending:
             await state.sink.write(b''.join(pending))
 
+    def _record_if_late(self) -> None:
+        """Has less urgent requests yield if the first event is late."""
+        state = self._state
+        target_s = state.route.latency_target_ms / 1000
+        if self._deps.clock.now() > state.req.arrived_at + target_s:
+            self._deps.heads.record_late(
+                state.service, state.req.model, state.priority
+            )
+
     async def _finish(self, response) -> None:
         """Ends the client's answer as complete."""
         sink = self._state.sink
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -120,6 +120,27 @@
     assert pair.link.last_update.lease_version == 5
 
 
+async def test_longest_pressure_of_all_nodes_reaches_each(pair):
+    """Pressure of a heartbeat ends in time though no other follows."""
+    pair.beats['n1'] = _beat('n1', pressure_ms={'s/m': {1: 300, 2: 900}})
+    pair.beats['n2'] = _beat('n2', pressure_ms={'s/m': {1: 700}})
+    pair.link.send_soon()
+    await conftest.until(
+        lambda: 600 < pair.hub.pressure_ms()['s/m'][1] <= 700, 'heartbeat'
+    )
+    pair.hub.send_soon()
+    await conftest.until(
+        lambda: 2 in pair.link.last_update.pressure_ms.get('s/m', ()),
+        'update',
+    )
+    got = pair.link.last_update.pressure_ms['s/m']
+    assert 300 < got[1] <= 700
+    assert got[2] == 900
+    pair.beats['n1'] = _beat('n1')
+    pair.beats['n2'] = _beat('n2', pressure_ms={'s/n': {1: 1}})
+    await conftest.until(lambda: not pair.hub.pressure_ms(), 'its end')
+
+
 @pytest.mark.parametrize(
     'suspects, expected',
     [((('h',), ()), []), ((('h',), ('h',)), ['h'])],
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import pytest
 
+from plantainway import clock as clocks
 from plantainway import deployment
 from plantainway.traffic import _admission
 
@@ -87,3 +88,46 @@
     }
     profile = dataclasses.replace(PROFILE, **zeros)
     assert _admission.expected_first_event_s(profile, 'm0', 3) >= 0
+
+
+@pytest.mark.parametrize(
+    'max_load, slots, yields, expected',
+    [
+        (27, 24, False, 27),
+        (27, 24, True, 18),
+        (9, 24, True, 9),  # a head that is ramped up
+        (4, 1, True, 1),
+        (3, 0, True, 1),
+    ],
+)
+def test_ceiling(max_load, slots, yields, expected):
+    """Guards against a head that takes no less urgent request at all."""
+    assert _admission.ceiling(max_load, slots, yields) == expected
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.integers(0, 9), strategies.floats(0.0, 2.0)
+    ),
+    strategies.integers(-1, 9),
+)
+def test_pressure_is_that_of_more_urgent_requests_of_the_last_second(
+    ages_s, priority
+):
+    """Guards against pressure that stays, or that equals exert."""
+    clock = clocks.ManualClock()
+    books = [_admission.PressureBook(clock) for _node in range(2)]
+    end = clock.now() + 2.0
+    for other, age_s in sorted(ages_s.items(), key=lambda item: -item[1]):
+        clock.advance(max(end - age_s - clock.now(), 0.0))
+        books[0].record('s/m', other)
+    clock.advance(max(end - clock.now(), 0.0))
+    books[1].merge(books[0].remaining_ms())
+    recent = [n for n, age_s in ages_s.items() if age_s < 1.0 - 1e-3]
+    expected = any(0 <= n < priority for n in recent)
+    if not any(abs(age_s - 1.0) <= 1e-3 for age_s in ages_s.values()):
+        for book in books:
+            assert book.is_above('s/m', priority) == expected
+    clock.advance(1.1)
+    assert not any(book.is_above('s/m', 10) for book in books)
+    assert not books[0].remaining_ms()
--- a/tests/traffic/test_books.py
+++ b/tests/traffic/test_books.py
@@ -149,11 +149,7 @@
     far_target = _entry(clock, 0.9)
     for entry in (late, far_target, near_target):
         queue.push(entry)
-    order = []
-    while (entry := queue.peek()) is not None:
-        queue.remove(entry)
-        order.append(entry)
-    assert order == [near_target, far_target, late]
+    assert queue.in_order() == [near_target, far_target, late]
 
 
 def test_higher_priority_goes_first(clock):
@@ -162,7 +158,7 @@
     usual, urgent = _entry(clock, 0.5, 2), _entry(clock, 0.9, 1)
     queue.push(usual)
     queue.push(urgent)
-    assert queue.peek() is urgent
+    assert queue.in_order() == [urgent, usual]
 
 
 def test_request_that_would_wait_too_long_is_refused(clock):
--- a/tests/traffic/test_heads.py
+++ b/tests/traffic/test_heads.py
@@ -12,6 +12,7 @@
 from plantainway import deployment
 from plantainway import errors
 from plantainway import traffic
+from plantainway.traffic import _admission
 from plantainway.traffic import _queue
 from tests.traffic import test_admission
 
@@ -79,6 +80,20 @@
         now = self.clock.now()
         return _queue.QueueEntry(1, now, now + 0.3, now + 2.0, **fields)
 
+    async def fill(self, count, priority):
+        """Sends requests of a priority; returns how many got capacity."""
+        got = 0
+        for _request in range(count):
+            entry = self.entry()
+            entry.priority = priority
+            try:
+                async with asyncio.timeout(0.005):
+                    await self.pool.reserve('s', 'm0', entry)
+                got += 1
+            except (TimeoutError, errors.NotRunError):
+                pass
+        return got
+
     async def reserve(self, **fields):
         """Reserves capacity for a new request."""
         return await self.pool.reserve('s', 'm0', self.entry(**fields))
@@ -360,3 +375,111 @@
     with pytest.raises(errors.NotRunError) as caught:
         await asyncio.wait_for(harness.reserve(), 0.1)
     assert caught.value.reason == 'overload'
+
+
+@pytest.mark.parametrize(
+    'pressed, priority, wait_s, most',
+    [
+        ({}, 5, 0.0, 27),
+        ({'s/m0': {5: 1000}}, 5, 0.0, 27),
+        ({'s/m0': {7: 1000}}, 5, 0.0, 27),
+        ({'s/m1': {1: 1000}}, 5, 0.0, 27),
+        ({'s/m0': {1: 1000}}, 5, 0.0, 18),
+        ({'s/m0': {1: 1000}}, -1, 0.0, 27),
+        ({'s/m0': {1: 1000}}, 5, 1.1, 27),
+        ({'s/m0': {1: 400}}, 5, 0.5, 27),
+    ],
+)
+async def test_less_urgent_requests_leave_headroom(
+    monkeypatch, pressed, priority, wait_s, most
+):
+    """Guards against heads full of them while urgent ones are refused.
+
+    Only those of the same model, and only for the time of the pressure.
+    """
+    monkeypatch.setattr(_admission, 'EXEMPT_SHARE', 0.0)
+    harness = PoolHarness(_head('h0', slots=24))
+    harness.pool.pressure.merge(pressed)
+    harness.clock.advance(wait_s)
+    assert await harness.fill(30, priority) == most
+    assert await harness.fill(10, 1) == 27 - most
+
+
+async def test_refused_urgent_request_makes_others_yield_at_other_nodes():
+    """The records of one node reach the heads of another."""
+    urgent, other = PoolHarness(_head('h0')), PoolHarness(_head('h0'))
+    urgent.loads.set_remote_counts({'h0': 5})
+    assert await urgent.fill(1, 1) == 0
+    other.pool.pressure.merge(urgent.pool.pressure.remaining_ms())
+    assert other.pool.pressure.is_above('s/m0', 2)
+    assert not other.pool.pressure.remaining_ms()
+
+
+async def test_urgent_request_does_not_wait_behind_one_that_yields(
+    monkeypatch,
+):
+    """Those that leave headroom don't take it by waiting in front."""
+    monkeypatch.setattr(_admission, 'EXEMPT_SHARE', 0.0)
+    harness = PoolHarness(_head('h0', slots=4))
+    harness.pool.pressure.merge({'s/m0': {1: 1000}})
+    harness.loads.set_remote_counts({'h0': 3})
+    entry = harness.entry()
+    entry.priority = 5
+    waiting = asyncio.ensure_future(harness.pool.reserve('s', 'm0', entry))
+    await asyncio.sleep(0)
+    reservation = await asyncio.wait_for(harness.reserve(), 0.1)
+    assert not waiting.done()
+    harness.pool.release(reservation, served=True)
+    harness.loads.set_remote_counts({'h0': 2})
+    harness.pool.dispatch_waiting()
+    assert (await waiting).head.name == 'h0'
+
+
+async def test_late_urgent_requests_that_wait_pass_those_that_yield(
+    monkeypatch,
+):
+    """A request that leaves headroom does not block the queue behind it."""
+    monkeypatch.setattr(_admission, 'EXEMPT_SHARE', 0.0)
+    harness = PoolHarness(_head('h0', slots=4))
+    harness.loads.set_remote_counts({'h0': 7})
+    first, second = harness.entry(), harness.entry()
+    first.priority, second.on_time_until = 5, harness.clock.now()
+    tasks = [
+        asyncio.ensure_future(harness.pool.reserve('s', 'm0', entry))
+        for entry in (first, second)
+    ]
+    await asyncio.sleep(0)
+    harness.loads.set_remote_counts({'h0': 6})
+    harness.pool.dispatch_waiting()
+    await asyncio.wait_for(tasks[1], 0.1)
+    assert not tasks[0].done()
+    tasks[0].cancel()
+
+
+async def test_a_share_of_the_less_urgent_requests_does_not_yield():
+    """Guards against requests that starve beside more urgent ones."""
+    harness = PoolHarness(_head('h0', slots=24))
+    harness.pool.pressure.merge({'s/m0': {1: 1000}})
+    harness.loads.set_remote_counts({'h0': 18})
+    got = 0
+    for _request in range(100):
+        entry = harness.entry()
+        entry.priority = 5
+        yields = harness.pool._yields('s', 'm0', entry)
+        assert yields == harness.pool._yields('s', 'm0', entry)
+        got += not yields
+    assert 15 <= got <= 35
+    assert harness.pool.yielded == {'s/m0': 100 - got}
+
+
+async def test_equal_priorities_change_nothing():
+    """The choices are those without any pressure."""
+    choices = []
+    for pressed in ({}, {'s/m0': {1: 1000}}):
+        harness = PoolHarness(*(_head(f'h{n}', slots=9) for n in range(4)))
+        harness.pool.pressure.merge(pressed)
+        choices.append(
+            [(await harness.reserve()).head.name for _n in range(48)]
+        )
+        assert not harness.pool.yielded
+    assert choices[0] == choices[1]
