--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -61,7 +61,9 @@
     ``reached`` answers the leader's questions whether the node reaches an
     engine, by number. ``cold`` are the upstreams whose answers to this node
     showed since its last heartbeat that they are cold, all of them in the
-    first one on a link.
+    first one on a link. ``pressure_ms`` is for how much longer less urgent
+    requests leave headroom, by ``service/model`` and by the priority that was
+    refused, queued or late on this node.
     """
 
     info: NodeInfo
@@ -86,6 +88,9 @@
     cold: list[ratelimits.ColdObservation] = dataclasses.field(
         default_factory=list
     )
+    pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,7 +182,8 @@
     of them without being in touch. ``unreached`` names engines that the
     leader does not reach, by number of the question. ``cold`` are the
     upstreams whose answers to any node showed that they are cold, sent along
-    with ``limits``.
+    with ``limits``. ``pressure_ms`` is as in the heartbeat, the longest of
+    all nodes.
     """
 
     leader: str
@@ -196,6 +202,9 @@
     cold: list[ratelimits.ColdObservation] = dataclasses.field(
         default_factory=list
     )
+    pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 _TAGS = {
