Ramp-up of heads that have just opened or recovered

A head that opens, or returns from an ejection or a pause, has no load and so gets the requests of all nodes at once.

Its limit of requests now starts at a quarter, grows within coldS, faster with first events as fast as those of other heads, and is halved by slow ones. Resumed streams and the most urgent requests are not held up. Services without coldPerS have no ramps.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1400,6 +1400,55 @@
         'cold_left_ms: int = 0',
         'tests/platform/test_messages.py tests/edge/test_view.py',
     ),
+    Mutant(
+        'a slow first event lowers a ramp',
+        'plantainway/traffic/_warmup.py',
+        'latency_s > SLOW_FACTOR * average_s',
+        'False',
+        'tests/traffic/test_warmup.py',
+    ),
+    Mutant(
+        'a ramp is lowered once for requests sent before',
+        'plantainway/traffic/_warmup.py',
+        'if ramp.load and now >= ramp.reduce_from:',
+        'if ramp.load:',
+        'tests/traffic/test_warmup.py',
+    ),
+    Mutant(
+        'a group opens once an epoch',
+        'plantainway/traffic/_warmup.py',
+        'if self._opened_epochs.get(head.name) != epoch:',
+        'if True:',
+        'tests/traffic/test_warmup.py',
+    ),
+    Mutant(
+        'short pauses begin no ramp',
+        'plantainway/traffic/_warmup.py',
+        'if pause_s >= PAUSE_MIN_S:',
+        'if True:',
+        'tests/traffic/test_warmup.py',
+    ),
+    Mutant(
+        'a ramp limits the load of a head',
+        'plantainway/traffic/_heads.py',
+        'return self.warmup.max_load(head, full_load)',
+        'return full_load',
+        'tests/traffic/test_warmup.py',
+    ),
+    Mutant(
+        'urgent requests are not held up by ramps',
+        'plantainway/traffic/_heads.py',
+        'if self.warmup.is_urgent(service, entry.priority):',
+        'if False:',
+        'tests/traffic/test_warmup.py',
+    ),
+    Mutant(
+        'an ejection begins a ramp',
+        'plantainway/traffic/_gateway.py',
+        '        if ejected:\n            self.heads',
+        '        if False:\n            self.heads',
+        'tests/platform/test_cold_engines.py',
+    ),
 )
 
 
--- a/plantainway/deployment/_configuration.py
+++ b/plantainway/deployment/_configuration.py
@@ -211,9 +211,20 @@
 
     def __init__(self, routes):
         self._hosts: dict[str, dict[str, Route]] = {}
+        self._priorities: dict[str, set[int]] = {}
         for route in routes:
             prefixes = self._hosts.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
+            for service, _weight in route.split:
+                self._priorities.setdefault(service, set()).add(route.priority)
+
+    def priorities(self, service: str) -> frozenset[int]:
+        """Returns the priorities of the routes to a service.
+
+        Args:
+            service: Name of the service.
+        """
+        return frozenset(self._priorities.get(service, ()))
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route whose prefix is the longest match of a path.
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -273,6 +273,11 @@
         dependencies, view = self._dependencies, self._view
         view.on_configuration.append(self._gateway.configure)
         view.on_configuration.append(self._limits.cold.configure)
+        view.on_configuration.append(dependencies.heads.warmup.configure)
+        view.on_opened.append(dependencies.heads.warmup.handle_opened)
+        dependencies.heads.warmup.on_raised.append(
+            dependencies.heads.dispatch_waiting
+        )
         view.on_entry.append(self._limits.cold.observe_entry)
         self._client.on_cold.append(self._limits.cold.observe_answer)
         self._limits.cold.on_answered.append(self._leader_link.send_soon)
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -24,6 +24,8 @@
         on_configuration: Called with each configuration put in force.
         on_entry: Called with each upstream as its entry shows it and the
             version of the row, before the upstream book is updated.
+        on_opened: Called with each known upstream that becomes the open head
+            of a group.
         on_removed: Called with each upstream whose entry was removed.
         on_group_changed: Called with the name of each upstream that is new
             or whose group membership changes, before the upstream book is
@@ -47,6 +49,7 @@
         self._leaving: dict[str, int] = {}  # start times by name
         self.on_configuration = []
         self.on_entry = []
+        self.on_opened = []
         self.on_removed = []
         self.on_group_changed = []
         self.on_upstreams_changed = []
@@ -112,6 +115,8 @@
         for listener in self.on_group_changed:
             listener(name)
         changed = dataclasses.replace(known, membership=member)
+        for listener in self.on_opened:
+            listener(changed)
         self.book.apply([changed], [], self.upstream_table.version)
         for listener in self.on_upstreams_changed:
             listener()
@@ -212,6 +217,10 @@
         if known is None or known.membership != upstream.membership:
             for listener in self.on_group_changed:
                 listener(upstream.name)
+        if known is not None and upstream.is_open_head:
+            if known.membership != upstream.membership:
+                for listener in self.on_opened:
+                    listener(upstream)
         member = upstream.membership
         logs.event(
             'upstream_seen',
--- a/plantainway/traffic/__init__.py
+++ b/plantainway/traffic/__init__.py
@@ -24,3 +24,4 @@
 from plantainway.traffic._types import REASON_LIMITED
 from plantainway.traffic._types import Request
 from plantainway.traffic._types import Response
+from plantainway.traffic._warmup import WarmupPacer
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -103,6 +103,8 @@
         if self.links.is_lost:
             return
         ejected = self.health.record_failure(upstream.name, eject_now)
+        if ejected:
+            self.heads.warmup.handle_ejected(upstream)
         if self.on_failure is not None:
             self.on_failure(upstream, reason, ejected)
 
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -8,6 +8,7 @@
 from plantainway import loops
 from plantainway.traffic import _queue
 from plantainway.traffic import _types
+from plantainway.traffic import _warmup
 
 MAX_QUEUED_PER_GROUP = 3  # requests at a group beyond its slots
 FULL_BACKOFF_S = 0.15  # pause after a head has refused a request as full
@@ -44,6 +45,9 @@
         rates: Permits for heads that limit their rate.
         clock: Source of monotonic time.
         rng: Source of randomness.
+
+    Attributes:
+        warmup: Ramps of heads that have just opened or recovered.
     """
 
     def __init__(self, upstreams, health, stalls, loads, rates, clock, rng):
@@ -54,6 +58,7 @@
         self._rates = rates
         self._clock = clock
         self._rng = rng
+        self.warmup = _warmup.WarmupPacer(clock)
         self._rotation = rng.randrange(1 << 16)
         self._full_until: dict[str, float] = {}
         self._closed_memberships: dict[str, deployment.Membership] = {}
@@ -85,7 +90,8 @@
         ]
 
     def _max_load(self, head) -> int:
-        return head.slots + MAX_QUEUED_PER_GROUP
+        full_load = head.slots + MAX_QUEUED_PER_GROUP
+        return self.warmup.max_load(head, full_load)
 
     def _with_capacity(self, heads) -> list:
         return [
@@ -138,6 +144,7 @@
         """
         self._closed_memberships.pop(name, None)
         self._full_until.pop(name, None)
+        self.warmup.forget(name)
 
     def mark_full(self, reservation: Reservation, pause_s: float = 0) -> None:
         """Sends a head no requests for ``FULL_BACKOFF_S`` at least.
@@ -150,6 +157,7 @@
             reservation: Reservation of the refused request.
             pause_s: Seconds for which the head asks for no requests.
         """
+        self.warmup.handle_paused(reservation.head, pause_s)
         pause_s = max(pause_s, FULL_BACKOFF_S)
         name = reservation.head.name
         self._full_until[name] = max(
@@ -276,7 +284,8 @@
             NotRunError: At once, if there is none in time.
         """
         _unlimited, limited = self._split(service, model, entry.excluded_heads)
-        limited = self._with_capacity(limited)
+        with self.warmup.bypassed(service, entry.priority):
+            limited = self._with_capacity(limited)
         if not limited:
             raise errors.NotRunError(
                 'all groups are full',
@@ -332,6 +341,13 @@
             reservation = self._try_reserve_among(unlimited, service, model)
             if reservation is not None:
                 return reservation
+        if self.warmup.is_urgent(service, entry.priority):
+            with self.warmup.bypassed(service, entry.priority):
+                reservation = self._try_reserve_among(
+                    unlimited, service, model
+                )
+            if reservation is not None:
+                return reservation
         if limited:
             try:
                 return await self._reserve_limited(service, model, entry)
--- a/plantainway/traffic/_stream_attempt.py
+++ b/plantainway/traffic/_stream_attempt.py
@@ -247,7 +247,9 @@
             deps.links.record_contact()
             now = deps.clock.now()
             if not self._is_begun:
-                deps.stalls.record_first_event(head.name, now - self._sent_at)
+                latency_s = now - self._sent_at
+                deps.stalls.record_first_event(head.name, latency_s)
+                deps.heads.warmup.record_first_event(head, latency_s)
                 self._is_begun = True
             else:
                 deps.stalls.record_gap(head.name, now - self._progress_at)
--- a/tests/edge/test_view.py
+++ b/tests/edge/test_view.py
@@ -88,6 +88,29 @@
     assert lines[1] == 0
 
 
+@pytest.mark.parametrize(
+    'before, after, expected',
+    [
+        (('g1', 1, 'joining'), ('g1', 1, 'open'), ['e0']),
+        (('g1', 1, 'open'), ('g2', 2, 'open'), ['e0']),
+        (('g1', 1, 'open'), ('g1', 1, 'open'), []),
+        (('g1', 1, 'open'), ('g1', 1, 'closing'), []),
+        (None, ('g1', 1, 'open'), ['e0']),
+    ],
+)
+def test_opening_of_a_known_head_is_announced(before, after, expected):
+    """Those that a node finds open when it starts are not new."""
+    view = _view.PlatformView(clocks.ManualClock())
+    opened = []
+    view.on_opened.append(lambda one: opened.append(one.name))
+    for version, group in ((1, before), (2, after)):
+        row = stores.RawRow('e0', _entry(group), version)
+        view.upstream_table.apply_snapshot(
+            stores.RowBatch((row,), version), 0.0
+        )
+    assert opened == expected
+
+
 def test_report_of_unknown_head_is_ignored():
     """A head without an entry has no address, so it cannot be used."""
     view = _view.PlatformView(clocks.ManualClock())
--- a/tests/platform/test_cold_engines.py
+++ b/tests/platform/test_cold_engines.py
@@ -79,6 +79,24 @@
     assert set(load.statuses()) == {200}
 
 
+async def test_head_that_was_ejected_ramps_up_by_its_answers(
+    nodes, runners, client
+):
+    """Failures begin a ramp, first events after it raise its limit."""
+    warmup = nodes[0]._dependencies.heads.warmup
+    load = test_rate_limits.Load(client, runners, nodes[:1])
+    for runner in runners.values():
+        runner.faults.answer = 'error'
+    await load.run(1.0)
+    assert warmup._ramps
+    for runner in runners.values():
+        runner.faults.answer = 'whole'
+    raised = []
+    warmup.on_raised.append(lambda: raised.append(1))
+    await load.run(1.0)
+    assert raised
+
+
 @pytest.mark.parametrize('text', ['', '0', 'x', '-5', 'nan'])
 async def test_other_answers_make_no_upstream_cold(
     nodes, runners, client, text
