--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -11,6 +11,7 @@
 from plantainway.traffic import _placement
 from plantainway.traffic import _queue
 from plantainway.traffic import _types
+from plantainway.traffic import _warmup
 
 MAX_QUEUED_PER_GROUP = 3  # requests at a group beyond its slots
 FULL_BACKOFF_S = 0.15  # pause after a head has refused a request as full
@@ -52,6 +53,7 @@
         pressure: Which models have urgent requests that are affected.
         yielded: Numbers of requests that had to leave headroom, by service
             and model.
+        warmup: Ramps of heads that have just opened or recovered.
     """
 
     def __init__(self, upstreams, health, stalls, loads, rates, clock, rng):
@@ -65,6 +67,7 @@
         self._engines: dict[str, deployment.EngineProfile] = {}
         self.pressure = _admission.PressureBook(clock)
         self.yielded: collections.Counter = collections.Counter()
+        self.warmup = _warmup.WarmupPacer(clock)
         self._full_until: dict[str, float] = {}
         self._closed_memberships: dict[str, deployment.Membership] = {}
         self._queues: dict[tuple[str, str], _queue.WaitQueue] = {}
@@ -103,7 +106,8 @@
         ]
 
     def _max_load(self, head) -> int:
-        return head.slots + MAX_QUEUED_PER_GROUP
+        full_load = head.slots + MAX_QUEUED_PER_GROUP
+        return self.warmup.max_load(head, full_load)
 
     def _room(self, head, yields: bool) -> int:
         limit = _admission.ceiling(self._max_load(head), head.slots, yields)
@@ -218,6 +222,7 @@
         """
         self._closed_memberships.pop(name, None)
         self._full_until.pop(name, None)
+        self.warmup.forget(name)
 
     def mark_full(self, reservation: Reservation, pause_s: float = 0) -> None:
         """Sends a head no requests for ``FULL_BACKOFF_S`` at least.
@@ -230,6 +235,7 @@
             reservation: Reservation of the refused request.
             pause_s: Seconds for which the head asks for no requests.
         """
+        self.warmup.handle_paused(reservation.head, pause_s)
         pause_s = max(pause_s, FULL_BACKOFF_S)
         name = reservation.head.name
         self._full_until[name] = max(
@@ -358,9 +364,10 @@
             NotRunError: At once, if there is none in time.
         """
         _unlimited, limited = self._split(service, model, entry.excluded_heads)
-        limited = self._with_capacity(
-            limited, self._yields(service, model, entry)
-        )
+        with self.warmup.bypassed(service, entry.priority):
+            limited = self._with_capacity(
+                limited, self._yields(service, model, entry)
+            )
         if not limited:
             raise errors.NotRunError(
                 'all groups are full',
@@ -430,6 +437,13 @@
             )
             if reservation is not None:
                 return reservation
+        if self.warmup.is_urgent(service, entry.priority):
+            with self.warmup.bypassed(service, entry.priority):
+                reservation = self._try_reserve_among(
+                    unlimited, service, model, entry
+                )
+            if reservation is not None:
+                return reservation
         if limited:
             try:
                 return await self._reserve_limited(service, model, entry)
