--- a/plantainway/deployment/_configuration.py
+++ b/plantainway/deployment/_configuration.py
@@ -282,3 +282,12 @@
             for name, service in self.services.items()
             if service.engine is not None
         }
+
+    @functools.cached_property
+    def ranked_services(self) -> frozenset[str]:
+        """Services to which routes of different priorities lead."""
+        return frozenset(
+            name
+            for name in self.services
+            if len(self.routes.priorities(name)) > 1
+        )
--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -55,14 +55,16 @@
         for model, count in state['queues'].items():
             waiting.add_metric([model], count)
         yield waiting
-        yielded = core.CounterMetricFamily(
-            'plantainway_yielded',
-            'Requests that left headroom to more urgent ones',
-            labels=['model'],
-        )
-        for model, count in state['yielded'].items():
-            yielded.add_metric([model], count)
-        yield yielded
+        for name, text in (
+            ('yielded', 'Requests that left headroom to more urgent ones'),
+            ('shed', 'Requests refused that could no longer be on time'),
+        ):
+            family = core.CounterMetricFamily(
+                f'plantainway_{name}', text, labels=['model']
+            )
+            for model, count in state[name].items():
+                family.add_metric([model], count)
+            yield family
         ended = core.CounterMetricFamily(
             'plantainway_requests', 'Requests ended', labels=['kind', 'end']
         )
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -581,6 +581,7 @@
             'loads': dict(self._dependencies.loads.local_counts),
             'queues': self._dependencies.heads.dump(),
             'yielded': dict(self._dependencies.heads.yielded),
+            'shed': dict(self._dependencies.heads.shed),
             'nodes': [item.node for item in self._known_nodes()],
             'store_calls': self._store.call_count,
             'relayed_bytes': self._hub.sent_bytes,
--- a/plantainway/traffic/_gateway.py
+++ b/plantainway/traffic/_gateway.py
@@ -138,7 +138,7 @@
         """
         self._cfg = cfg
         self._deps.relay.configuration = cfg.version
-        self._deps.heads.configure(cfg.engines)
+        self._deps.heads.configure(cfg.engines, cfg.ranked_services)
 
     def end_at(self, ends_at: float, refuse_long_from: float) -> None:
         """Sets when this node has to have answered all requests.
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -18,6 +18,10 @@
 RETURN_SPREAD_S = 0.5  # over which refused clients come back
 # A request waits this long for a permit even if it is late then.
 PERMIT_WAIT_MIN_S = 0.2
+# Clients of requests that were shed return over this time, which is longer
+# than the short bursts that fill all heads.
+SHED_RETURN_MIN_S = 0.5
+SHED_RETURN_MAX_S = 2.0
 # A limited head is used if it has this many fewer requests than others.
 LOAD_TOLERANCE = 2
 
@@ -51,6 +55,8 @@
 
     Attributes:
         pressure: Which models have urgent requests that are affected.
+        shed: Numbers of requests refused because they could no longer be on
+            time, by service and model.
         yielded: Numbers of requests that had to leave headroom, by service
             and model.
         warmup: Ramps of heads that have just opened or recovered.
@@ -65,6 +71,8 @@
         self._clock = clock
         self._rng = rng
         self._engines: dict[str, deployment.EngineProfile] = {}
+        self._ranked_services: frozenset[str] = frozenset()
+        self.shed: collections.Counter = collections.Counter()
         self.pressure = _admission.PressureBook(clock)
         self.yielded: collections.Counter = collections.Counter()
         self.warmup = _warmup.WarmupPacer(clock)
@@ -72,13 +80,21 @@
         self._closed_memberships: dict[str, deployment.Membership] = {}
         self._queues: dict[tuple[str, str], _queue.WaitQueue] = {}
 
-    def configure(self, engines: dict[str, deployment.EngineProfile]) -> None:
-        """Sets the figures by which the time to the first event is expected.
+    def configure(
+        self,
+        engines: dict[str, deployment.EngineProfile],
+        ranked_services=frozenset(),
+    ) -> None:
+        """Sets the figures of the engines and which services are ranked.
 
         Args:
-            engines: Profiles of engines by service.
+            engines: Profiles of engines by service, from which the time to
+                the first event is expected.
+            ranked_services: Services to which routes of different priorities
+                lead. They shed requests that can no longer be on time.
         """
         self._engines = engines
+        self._ranked_services = ranked_services
 
     def candidates(self, service: str, model: str, excluded_heads=()) -> list:
         """Returns the open heads of a model, full ones included.
@@ -109,8 +125,19 @@
         full_load = head.slots + MAX_QUEUED_PER_GROUP
         return self.warmup.max_load(head, full_load)
 
-    def _room(self, head, yields: bool) -> int:
+    def _may_shed(self, service, entry) -> bool:
+        """Returns whether a request is refused once it can't be on time.
+
+        Requests that an upstream has had are kept, as their clients may be
+        told neither that they ran nor that they did not.
+        """
+        return entry.is_unsent and service in self._ranked_services
+
+    def _room(self, head, entry, yields: bool) -> int:
         limit = _admission.ceiling(self._max_load(head), head.slots, yields)
+        if self._may_shed(head.service, entry):
+            # Places beyond the slots are for those that must not be refused.
+            limit = min(limit, head.slots)
         return limit - self._loads.total(head.name)
 
     def _yields(self, service, model, entry) -> bool:
@@ -141,11 +168,12 @@
         if not self._yields(service, model, entry):
             self.record_late(service, model, entry.priority)
 
-    def _with_capacity(self, heads, yields: bool) -> list:
+    def _with_capacity(self, heads, entry, yields: bool) -> list:
         return [
             item
             for item in heads
-            if self._room(item, yields) > 0 and not self._is_full(item.name)
+            if self._room(item, entry, yields) > 0
+            and not self._is_full(item.name)
         ]
 
     def _min_load(self, heads) -> float:
@@ -155,8 +183,8 @@
         )
 
     def _choose_head(self, heads, entry, yields: bool):
-        available = self._with_capacity(heads, yields)
-        rooms = [self._room(item, yields) for item in available]
+        available = self._with_capacity(heads, entry, yields)
+        rooms = [self._room(item, entry, yields) for item in available]
         remaining_s = entry.on_time_until - self._clock.now()
         late_heads = {
             item
@@ -332,7 +360,7 @@
         return self._try_reserve_among(unlimited, service, model, entry)
 
     async def _try_reserve_limited(
-        self, unlimited, limited, service, model, yields
+        self, unlimited, limited, service, model, entry
     ) -> Reservation | None:
         """Reserves capacity at a limited head that is less loaded.
 
@@ -343,13 +371,14 @@
             limited: Limited heads.
             service: Name of the service.
             model: Name of the model.
-            yields: Whether the request leaves headroom.
+            entry: Queue entry of the request.
 
         Returns:
             The reservation, ``None`` if another head is the better choice.
         """
-        limited = self._with_capacity(limited, yields)
-        others = self._with_capacity(unlimited, yields)
+        yields = self._yields(service, model, entry)
+        limited = self._with_capacity(limited, entry, yields)
+        others = self._with_capacity(unlimited, entry, yields)
         if not limited or not others:
             return None
         if self._min_load(limited) + LOAD_TOLERANCE >= self._min_load(others):
@@ -366,7 +395,7 @@
         _unlimited, limited = self._split(service, model, entry.excluded_heads)
         with self.warmup.bypassed(service, entry.priority):
             limited = self._with_capacity(
-                limited, self._yields(service, model, entry)
+                limited, entry, self._yields(service, model, entry)
             )
         if not limited:
             raise errors.NotRunError(
@@ -420,11 +449,7 @@
         unlimited, limited = self._split(service, model, entry.excluded_heads)
         if limited:
             reservation = await self._try_reserve_limited(
-                unlimited,
-                limited,
-                service,
-                model,
-                self._yields(service, model, entry),
+                unlimited, limited, service, model, entry
             )
             if reservation is not None:
                 return reservation
@@ -459,7 +484,7 @@
             self._ensure_one_returns(service, model, entry)
             self._update_start_latency(queue, unlimited)
             self._record_held_up(service, model, entry)
-            return await self._reserve_queued(queue, entry)
+            return await self._reserve_queued(service, model, queue, entry)
         except errors.NotRunError as exc:
             if exc.reason != _types.REASON_LIMITED:
                 raise
@@ -476,7 +501,9 @@
             not self._yields(service, model, item) for item in queue.in_order()
         )
 
-    async def _reserve_queued(self, queue, entry) -> Reservation:
+    async def _reserve_queued(
+        self, service, model, queue, entry
+    ) -> Reservation:
         if not queue.may_wait(entry):
             raise errors.NotRunError(
                 'all groups are full and the wait is too long',
@@ -484,18 +511,31 @@
                 reason='overload',
                 retry_after_s=queue.predicted_wait_s(entry),
             )
+        wait_until = min(
+            entry.client_gone_at, self._clock.now() + _queue.MAX_WAIT_S
+        )
+        if not self._may_shed(service, entry):
+            return await self._await_reservation(queue, entry, wait_until)
+        wait_until = min(wait_until, queue.latest_start(entry))
+        try:
+            return await self._await_reservation(queue, entry, wait_until)
+        except errors.NotRunError as exc:
+            if exc.reason == 'overload':
+                self.shed[f'{service}/{model}'] += 1
+                exc.retry_after_s = self._rng.uniform(
+                    SHED_RETURN_MIN_S, SHED_RETURN_MAX_S
+                )
+            raise
+
+    async def _await_reservation(
+        self, queue, entry, wait_until: float
+    ) -> Reservation:
         entry.reservation = asyncio.get_running_loop().create_future()
         queue.push(entry)
-        return await self._await_reservation(queue, entry)
-
-    async def _await_reservation(self, queue, entry) -> Reservation:
-        remaining_s = min(
-            entry.client_gone_at - self._clock.now(), _queue.MAX_WAIT_S
-        )
         fut = entry.reservation
         reservation = None
         try:
-            async with loops.timeout(max(remaining_s, 0.0)):
+            async with loops.timeout(max(wait_until - self._clock.now(), 0.0)):
                 reservation = await fut
             return reservation
         except TimeoutError:
--- a/plantainway/traffic/_queue.py
+++ b/plantainway/traffic/_queue.py
@@ -25,6 +25,7 @@
     had the request. Once queued, ``reservation`` is the future of its
     reservation. ``prompt_tokens`` is 0 if unknown. ``is_exempt`` tells whether
     it need not yield to more urgent ones, ``None`` until that is drawn.
+    ``is_unsent`` tells that no upstream has had the request yet.
     """
 
     priority: int
@@ -35,6 +36,7 @@
     reservation: 'asyncio.Future | None' = None
     prompt_tokens: int = 0
     is_exempt: bool | None = None
+    is_unsent: bool = False
 
 
 def sort_key(
@@ -115,6 +117,14 @@
         start_at = self._clock.now() + wait_s + self.start_latency_s
         return wait_s <= MAX_WAIT_S and start_at < entry.client_gone_at
 
+    def latest_start(self, entry: QueueEntry) -> float:
+        """Returns until when a request can begin and still meet its target.
+
+        Args:
+            entry: The request.
+        """
+        return entry.on_time_until - self.start_latency_s
+
     def push(self, entry: QueueEntry) -> None:
         """Adds a request.
 
--- a/plantainway/traffic/_stream.py
+++ b/plantainway/traffic/_stream.py
@@ -360,6 +360,7 @@
             client_gone_at=client_gone_at,
             excluded_heads=frozenset(state.excluded_heads | state.open_heads),
             prompt_tokens=req.prompt_tokens,
+            is_unsent=not state.is_started and state.attempts.sends == 0,
         )
         try:
             return await self._deps.heads.reserve(
