Shed requests of ranked services that can no longer be on time

What callers saw: in a burst beyond the capacity of a model nearly all answers were late, 322 to 413 of 589 in the worst two seconds, until the backlog was gone. Cause: heads took slots + 3 and nodes kept requests for up to 1.5 s, so those that had waited longest went first and made the later ones late.

Where routes to a service differ in priority, a request that no upstream has had takes slots only and is refused, as not run, once it can't be on time; its client comes back after 0.5 to 2 s. Others wait as before. Three mutants.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1799,6 +1799,27 @@
         '        if False:\n            self.heads',
         'tests/platform/test_cold_engines.py',
     ),
+    Mutant(
+        'late requests of ranked services are shed',
+        'plantainway/traffic/_heads.py',
+        'wait_until = min(wait_until, queue.latest_start(entry))',
+        'pass',
+        'tests/traffic/test_heads.py',
+    ),
+    Mutant(
+        'requests that an upstream has had are not shed',
+        'plantainway/traffic/_heads.py',
+        'return entry.is_unsent and service in self._ranked_services',
+        'return service in self._ranked_services',
+        'tests/traffic/test_heads.py',
+    ),
+    Mutant(
+        'requests that may be shed take slots only',
+        'plantainway/traffic/_heads.py',
+        'limit = min(limit, head.slots)',
+        'pass',
+        'tests/traffic/test_heads.py',
+    ),
 )
 
 
--- a/tests/traffic/test_heads.py
+++ b/tests/traffic/test_heads.py
@@ -13,6 +13,7 @@
 from plantainway import errors
 from plantainway import traffic
 from plantainway.traffic import _admission
+from plantainway.traffic import _heads
 from plantainway.traffic import _queue
 from tests.traffic import test_admission
 
@@ -508,3 +509,41 @@
         )
         assert not harness.pool.yielded
     assert choices[0] == choices[1]
+
+
+@pytest.mark.parametrize(
+    'ranked, is_unsent, taken, is_shed',
+    [
+        (True, True, 4, True),
+        (True, False, 7, False),  # an upstream has had it
+        (False, True, 7, False),
+    ],
+)
+async def test_late_requests_of_ranked_services_are_shed(
+    ranked, is_unsent, taken, is_shed
+):
+    """Guards against late requests that hold what others need to be on time.
+
+    A request of a ranked service that has not run takes slots only, and is
+    refused once it can no longer be on time; the others wait on.
+    """
+    harness = PoolHarness(_head('h0', slots=4))
+    harness.pool.configure({}, frozenset({'s'} if ranked else ()))
+    for _request in range(taken):
+        await harness.reserve(is_unsent=is_unsent)
+    entry = harness.entry(is_unsent=is_unsent)
+    entry.on_time_until = harness.clock.now() + _queue.START_LATENCY_S + 0.02
+    waiting = asyncio.ensure_future(harness.pool.reserve('s', 'm0', entry))
+    await asyncio.sleep(0.1)
+    assert waiting.done() == is_shed
+    if not is_shed:
+        waiting.cancel()
+        return
+    exc = waiting.exception()
+    low, high = _heads.SHED_RETURN_MIN_S, _heads.SHED_RETURN_MAX_S
+    assert isinstance(exc, errors.NotRunError) and exc.reason == 'overload'
+    assert low <= exc.retry_after_s <= high
+    assert harness.pool.shed == {'s/m0': 1}
+    assert len(harness.pool.dump()) == 1 and not any(
+        harness.pool.dump().values()
+    )
