--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1809,8 +1809,8 @@
     Mutant(
         'requests that an upstream has had are not shed',
         'plantainway/traffic/_heads.py',
-        'return entry.is_unsent and service in self._ranked_services',
-        'return service in self._ranked_services',
+        '        if not entry.is_unsent:\n            return False\n',
+        '',
         'tests/traffic/test_heads.py',
     ),
     Mutant(
@@ -1820,6 +1820,20 @@
         'pass',
         'tests/traffic/test_heads.py',
     ),
+    Mutant(
+        'a burst is no lasting overload',
+        'plantainway/traffic/_heads.py',
+        'return full_s >= SHED_AFTER_S',
+        'return full_s > 0',
+        'tests/traffic/test_heads.py',
+    ),
+    Mutant(
+        'room at the heads ends saturation',
+        'plantainway/traffic/_admission.py',
+        'self._since.pop(key, None)',
+        'pass',
+        'tests/traffic/test_admission.py',
+    ),
 )
 
 
--- a/plantainway/traffic/_admission.py
+++ b/plantainway/traffic/_admission.py
@@ -13,6 +13,7 @@
 # arrives at a head of 24 slots until the nodes know its load (0.3 to 0.5 s).
 YIELDING_SLOTS = 0.75
 EXEMPT_SHARE = 0.25  # of the less urgent requests, so that none starve
+SATURATED_SLOTS = 0.95  # of all slots of a model; loads are known late
 
 
 def expected_first_event_s(
@@ -92,6 +93,43 @@
     return min(max_load, max(int(slots * YIELDING_SLOTS), 1))
 
 
+class SaturationTracker:
+    """Tells how long the heads of a model have been full.
+
+    It addresses overload that outlasts a burst. Loads include those of other
+    nodes, so that all nodes come to the same result without a message.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._since: dict[str, float] = {}
+
+    def observe(self, key: str, held: int, slots: int) -> None:
+        """Records how full the heads of a model are.
+
+        Args:
+            key: Service and model as ``service/model``.
+            held: Requests that they hold.
+            slots: Their slots.
+        """
+        if held < slots * SATURATED_SLOTS:
+            self._since.pop(key, None)
+        else:
+            self._since.setdefault(key, self._clock.now())
+
+    def duration_s(self, key: str) -> float:
+        """Returns for how many seconds the heads have been full, or 0.
+
+        Args:
+            key: Service and model.
+        """
+        now = self._clock.now()
+        return now - self._since.get(key, now)
+
+
 class PressureBook:
     """Knows of which models urgent requests were refused, queued or late.
 
--- a/plantainway/traffic/_heads.py
+++ b/plantainway/traffic/_heads.py
@@ -18,8 +18,10 @@
 RETURN_SPREAD_S = 0.5  # over which refused clients come back
 # A request waits this long for a permit even if it is late then.
 PERMIT_WAIT_MIN_S = 0.2
-# Clients of requests that were shed return over this time, which is longer
-# than the short bursts that fill all heads.
+# Heads that are full for this long have more than a burst to serve.
+SHED_AFTER_S = 3.0
+# Clients of requests that were shed return over this time, so that those
+# refused together do not return together.
 SHED_RETURN_MIN_S = 0.5
 SHED_RETURN_MAX_S = 2.0
 # A limited head is used if it has this many fewer requests than others.
@@ -72,6 +74,7 @@
         self._rng = rng
         self._engines: dict[str, deployment.EngineProfile] = {}
         self._ranked_services: frozenset[str] = frozenset()
+        self._saturation = _admission.SaturationTracker(clock)
         self.shed: collections.Counter = collections.Counter()
         self.pressure = _admission.PressureBook(clock)
         self.yielded: collections.Counter = collections.Counter()
@@ -91,7 +94,9 @@
             engines: Profiles of engines by service, from which the time to
                 the first event is expected.
             ranked_services: Services to which routes of different priorities
-                lead. They shed requests that can no longer be on time.
+                lead. Only for them the time to the first event is expected,
+                and requests that can no longer be on time are shed as soon as
+                all heads are full, not only once that lasts.
         """
         self._engines = engines
         self._ranked_services = ranked_services
@@ -125,17 +130,29 @@
         full_load = head.slots + MAX_QUEUED_PER_GROUP
         return self.warmup.max_load(head, full_load)
 
-    def _may_shed(self, service, entry) -> bool:
+    def _may_shed(self, service, model, entry) -> bool:
         """Returns whether a request is refused once it can't be on time.
 
         Requests that an upstream has had are kept, as their clients may be
         told neither that they ran nor that they did not.
         """
-        return entry.is_unsent and service in self._ranked_services
+        if not entry.is_unsent:
+            return False
+        if service in self._ranked_services:
+            return True
+        full_s = self._saturation.duration_s(f'{service}/{model}')
+        return full_s >= SHED_AFTER_S
+
+    def _observe_saturation(self, service, model, heads) -> None:
+        self._saturation.observe(
+            f'{service}/{model}',
+            sum(self._loads.total(item.name) for item in heads),
+            sum(item.slots for item in heads),
+        )
 
     def _room(self, head, entry, yields: bool) -> int:
         limit = _admission.ceiling(self._max_load(head), head.slots, yields)
-        if self._may_shed(head.service, entry):
+        if self._may_shed(head.service, head.membership.model, entry):
             # Places beyond the slots are for those that must not be refused.
             limit = min(limit, head.slots)
         return limit - self._loads.total(head.name)
@@ -205,7 +222,7 @@
             held_max: Most other requests that it will hold, if known.
         """
         profile = self._engines.get(head.service)
-        if profile is None or head.membership is None:
+        if profile is None or head.service not in self._ranked_services:
             return _queue.START_LATENCY_S
         held = self._loads.total(head.name)
         if held_max is not None:
@@ -447,6 +464,8 @@
     async def _reserve(self, service, model, entry) -> Reservation:
         queue = self._queue_for(service, model)
         unlimited, limited = self._split(service, model, entry.excluded_heads)
+        if entry.is_unsent:
+            self._observe_saturation(service, model, unlimited + limited)
         if limited:
             reservation = await self._try_reserve_limited(
                 unlimited, limited, service, model, entry
@@ -514,7 +533,7 @@
         wait_until = min(
             entry.client_gone_at, self._clock.now() + _queue.MAX_WAIT_S
         )
-        if not self._may_shed(service, entry):
+        if not self._may_shed(service, model, entry):
             return await self._await_reservation(queue, entry, wait_until)
         wait_until = min(wait_until, queue.latest_start(entry))
         try:
--- a/tests/traffic/test_admission.py
+++ b/tests/traffic/test_admission.py
@@ -131,3 +131,16 @@
     clock.advance(1.1)
     assert not any(book.is_above('s/m', 10) for book in books)
     assert not books[0].remaining_ms()
+
+
+def test_saturation_lasts_while_heads_are_full():
+    """Guards against a burst that counts as lasting overload."""
+    clock = clocks.ManualClock()
+    tracker = _admission.SaturationTracker(clock)
+    durations = []
+    for held in (23, 24, 24, 20, 24, 30):
+        tracker.observe('s/m', held, 24)
+        durations.append(tracker.duration_s('s/m'))
+        clock.advance(1.0)
+    assert durations == [0.0, 1.0, 2.0, 0.0, 0.0, 1.0]
+    assert tracker.duration_s('s/other') == 0.0
