Soak: draw evacuations and cold runners

Rows evacuate/ZONE are stored for 6 to 9 s at seeded moments, also both at once, beside all other faults. A breach is a request at a runner of the zone from a node that was in touch with the store for 5 s since the row was stored. Time in which the node is paused or can't reach the store does not count; requests that a runner's blocked link held back are left out. Of a relayed request each node has to be bound, since the log does not say which one sent it.

Runners are cold for 4 s after a restart and at seeded moments; their entries and health answers say so, and a surge of requests follows. A breach is more than 2 x 1.5 + 5 requests in a second from nodes that had to know: in touch for one second since a runner turned cold, at once after its restart. Requests from nodes that were paused in the second before do not count.

Both have a switch. With both off, and without faults, the runners are in one zone as before.

The tests of cut-off processes name a load without both, as they were before. draw_limits became a case of draw_kind with the same draws.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,8 @@
     faults: bool = True,
     arrivals: float = 0.0,
     pause_s: float = 0.0,
+    evacuations: bool = True,
+    cold: bool = True,
 ) -> None:
     """Runs soak tests and prints the promises that were broken.
 
@@ -42,9 +44,22 @@
         arrivals: Streams a second that are sent beside the callers' requests.
         pause_s: How long each node process is paused every 1.2 seconds,
             instead of at drawn times.
+        evacuations: Whether failure domains are evacuated, if faults are
+            drawn; without it all runners are in one.
+        cold: Whether runners are cold after a restart and turn cold, if
+            faults are drawn.
     """
     broken = 0
-    load = world.Load(silence, places, pauses, faults, arrivals, pause_s)
+    load = world.Load(
+        silence,
+        places,
+        pauses,
+        faults,
+        arrivals,
+        pause_s,
+        has_evacuations=evacuations,
+        has_cold=cold,
+    )
     for number in range(seed, seed + runs):
         directory = pathlib.Path(logs or tempfile.mkdtemp(prefix='soak-'))
         directory = directory / f'seed-{number}'
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -54,6 +54,7 @@
         self._count += 1
         token = f't{self._number}-{self._count}'
         checker = self._soak.checker
+        checker.arrivals.senders[token] = address
         if kind == 'unsafe':
             checker.record_at_most_once(token)
         version = self._soak.version - self._rng.randrange(2)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,23 +1,30 @@
 """A seeded schedule of faults injected from outside the processes."""
 
 import asyncio
+import contextlib
 import dataclasses
 import signal
 
+from tests.soak import ledger
 from tests.soak import proxy
 
 SPACING_RANGE_S = (0.2, 1.2)
 DURATION_RANGE_S = (0.3, 2.5)
-LIMIT_SPACING_RANGE_S = (0.5, 3.0)
-LIMIT_DURATION_RANGE_S = (4.0, 9.0)
 LIMIT_PER_S = 3.0
 CUT_SPACING_RANGE_S = (1.0, 5.0)
 CUT_DURATION_RANGE_S = (1.0, 5.0)
-PAUSE_SPACING_RANGE_S = (0.4, 2.0)
-PAUSE_DURATION_RANGE_S = (0.05, 1.0)
-ROLL_SPACING_RANGE_S = (2.0, 8.0)
+# Of the kinds that are drawn apart: their spacing and their duration.
+RANGES_S = {
+    'limit': ((0.5, 3.0), (4.0, 9.0)),
+    'pause': ((0.4, 2.0), (0.05, 1.0)),
+    'paused_roll': ((2.0, 8.0), (0.05, 1.0)),
+    'evacuate': ((0.5, 6.0), (6.0, 9.0)),  # longer than the bound on them
+    'cold': ((0.5, 3.0), (0.0, 0.0)),  # the runner ends it
+}
 ROLL_PAUSE_DELAY_S = 0.1  # from SIGTERM of a process to its pause
-ALL_RUNNERS_EVERY = 3  # so many limits are named by all runners of a service
+# One of so many limits is named by all runners of a service, and one of so
+# many cold times is that of a whole domain.
+ALL_RUNNERS_EVERY = 3
 LINK_MODES = (
     proxy.Mode.DELAY,
     proxy.Mode.RESET,
@@ -78,21 +85,24 @@
     return faults
 
 
-def draw_limits(rng, seconds: float) -> list[Fault]:
-    """Returns the limits that runners name in a run, in order of start.
+def draw_kind(rng, seconds: float, kind: str) -> list[Fault]:
+    """Returns the faults of one kind in a run, in order of start.
 
     They are drawn apart from the other faults, which a seed keeps.
 
     Args:
         rng: Random generator.
         seconds: Length of the run.
+        kind: ``limit`` (runners name one), ``evacuate`` (failure domains),
+            ``cold`` (running runners turn cold), ``pause`` or ``paused_roll``.
     """
+    spacing_range_s, duration_range_s = RANGES_S[kind]
     found = []
-    at_s = rng.uniform(*LIMIT_SPACING_RANGE_S)
+    at_s = rng.uniform(*spacing_range_s)
     while at_s < seconds:
-        duration_s = rng.uniform(*LIMIT_DURATION_RANGE_S)
-        found.append(Fault(at_s, 'limit', rng.randrange(1000), duration_s))
-        at_s += rng.uniform(*LIMIT_SPACING_RANGE_S)
+        duration_s = rng.uniform(*duration_range_s)
+        found.append(Fault(at_s, kind, rng.randrange(1000), duration_s))
+        at_s += rng.uniform(*spacing_range_s)
     return found
 
 
@@ -129,17 +139,11 @@
         rng: Random generator.
         seconds: Length of the run.
     """
-    found = []
-    for kind, spacing_range_s in (
-        ('pause', PAUSE_SPACING_RANGE_S),
-        ('paused_roll', ROLL_SPACING_RANGE_S),
-    ):
-        at_s = rng.uniform(*spacing_range_s)
-        while at_s < seconds:
-            duration_s = rng.uniform(*PAUSE_DURATION_RANGE_S)
-            found.append(Fault(at_s, kind, rng.randrange(1000), duration_s))
-            at_s += rng.uniform(*spacing_range_s)
-    return found
+    return [
+        fault
+        for kind in ('pause', 'paused_roll')
+        for fault in draw_kind(rng, seconds, kind)
+    ]
 
 
 def regular_pauses(
@@ -207,8 +211,10 @@
     async def _pause(self, fault) -> None:
         process = self._process(fault)
         if process.signal(signal.SIGSTOP):
-            await asyncio.sleep(fault.duration_s)
-            process.signal(signal.SIGCONT)
+            with self._recorded_outage(process) as outage:
+                await asyncio.sleep(fault.duration_s)
+                process.signal(signal.SIGCONT)
+            self._soak.checker.arrivals.pauses += outage
             self._soak.record_node_start()
 
     async def _paused_roll(self, fault) -> None:
@@ -225,9 +231,10 @@
         self._process(fault).signal(signal.SIGHUP)
 
     async def _store_down(self, fault) -> None:
-        self._soak.store.faults.down = True
-        await asyncio.sleep(fault.duration_s)
-        self._soak.store.faults.down = False
+        with self._recorded_outage():
+            self._soak.store.faults.down = True
+            await asyncio.sleep(fault.duration_s)
+            self._soak.store.faults.down = False
 
     async def _store_lost(self, fault) -> None:
         self._soak.store.faults.lost_answers += 2
@@ -237,7 +244,26 @@
         self._soak.store.faults.late_writes += 2
 
     async def _store_link(self, fault) -> None:
-        await self._degrade_link(self._process(fault).store_link, fault)
+        process = self._process(fault)
+        if fault.mode is proxy.Mode.DELAY:
+            await self._degrade_link(process.store_link, fault)
+            return
+        with self._recorded_outage(process):
+            await self._degrade_link(process.store_link, fault)
+
+    @contextlib.contextmanager
+    def _recorded_outage(self, process=None):
+        """Records that a node process, or each, is out of touch.
+
+        Yields:
+            List that holds the recorded window in the end.
+        """
+        node = process.addresses['caller'] if process else ''
+        now = asyncio.get_running_loop().time
+        began_at, found = now(), []
+        yield found
+        found.append(ledger.Window(node, began_at, now()))
+        self._soak.checker.arrivals.outages += found
 
     async def _runner_link(self, fault) -> None:
         runners = list(self._soak.runners.values())
@@ -249,6 +275,9 @@
             self._soak.checker.cut_answers.record_disturbance(
                 runner.name, began_at, now()
             )
+            self._soak.checker.arrivals.outages.append(
+                ledger.Window(runner.name, began_at, now())
+            )
 
     async def _degrade_link(self, link, fault) -> None:
         link.set_mode(fault.mode)
@@ -267,6 +296,26 @@
     async def _cut_off(self, fault) -> None:
         await self._soak.cut_off(self._process(fault), fault.duration_s)
 
+    async def _evacuate(self, fault) -> None:
+        zones = sorted({one.zone for one in self._soak.runners.values()})
+        await self._soak.evacuate(
+            zones[fault.target % len(zones)], fault.duration_s
+        )
+
+    async def _cold(self, fault) -> None:
+        runners = list(self._soak.runners.values())
+        first = runners[fault.target % len(runners)]
+        is_domain = fault.target % ALL_RUNNERS_EVERY == 0
+        for runner in runners:
+            is_meant = runner is first or (
+                is_domain and runner.domain == first.domain
+            )
+            if is_meant and not runner.is_down:
+                runner.turn_cold()
+        await asyncio.sleep(ledger.COLD_UNKNOWN_S)
+        kind = 'safe' if first.service == 'plain' else 'stream'
+        await self._soak.send_surge(kind)
+
     async def _limit(self, fault) -> None:
         runners = list(self._soak.runners.values())
         first = runners[fault.target % len(runners)]
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -16,6 +16,17 @@
 REQUESTS_PER_START = 3
 START_EXCUSED_S = 3.0
 CUT_END_LABELS = ('aborted', 'cancelled')
+# evacuateMs of the platform.
+EVACUATION_BOUND_S = 5.0
+# Of the platform's rule on cold runners, and what the runners tolerate.
+COLD_PER_S = 2.0
+COLD_WINDOW_S = 1.0
+COLD_RATIO = 1.5
+COLD_SLACK = 5
+# No node can know before that a running runner has turned cold.
+COLD_UNKNOWN_S = 1.0
+# Until requests that a blocked link held back have arrived.
+HELD_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,7 +98,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Window:
+class Window:
     """Time in which something can't be relied upon."""
 
     name: str
@@ -110,8 +121,8 @@
     def __init__(self):
         self._runs: dict[str, list[Run]] = {}
         self.cuts: list[CutAnswer] = []
-        self._disturbances: list[_Window] = []
-        self._node_ends: list[_Window] = []
+        self._disturbances: list[Window] = []
+        self._node_ends: list[Window] = []
         self._killed: set[str] = set()
 
     def record_run(self, token: str, run: Run) -> None:
@@ -141,7 +152,7 @@
             began_at: Seconds of the event loop.
             ended_at: Seconds of the event loop.
         """
-        self._disturbances.append(_Window(runner, began_at, ended_at))
+        self._disturbances.append(Window(runner, began_at, ended_at))
 
     def record_node_kill(self, node: str, at: float) -> None:
         """Records that a node process is killed.
@@ -163,7 +174,7 @@
             at: Seconds of the event loop.
             until: Seconds until which it may, without end by default.
         """
-        self._node_ends.append(_Window(node, at, until))
+        self._node_ends.append(Window(node, at, until))
 
     def find_breaches(self, logs) -> list[Breach]:
         """Compares the answers that were cut with runs and logs.
@@ -223,15 +234,143 @@
         )
 
 
+class ArrivalChecker:
+    """Finds requests that evacuated or cold runners should not have got.
+
+    A node is out of touch while it is paused or can't reach the store. It
+    knows of an evacuation once it was in touch for the bound, or of a cold
+    time, and keeps to it from then on. After a pause it may send what it had
+    decided before. Requests that a link held back were sent earlier and don't
+    count.
+
+    Attributes:
+        senders: Address of the node to which a request was sent, by token.
+        outages: When nodes were out of touch, by address, or without a name
+            all of them; when links held back requests, by runner.
+        evacuations: When the row was stored that evacuates a runner.
+        pauses: Those of them when a node was paused.
+        colds: When runners are cold, and how long a node has to be in touch
+            to know that.
+    """
+
+    def __init__(self):
+        self._arrivals: dict[str, list[tuple[float, str]]] = {}
+        self.senders: dict[str, str] = {}
+        self.outages: list[Window] = []
+        self.evacuations: list[Window] = []
+        self.pauses: list[Window] = []
+        self.colds: list[tuple[Window, float]] = []
+
+    def record_arrival(self, runner: str, at: float, token: str) -> None:
+        """Records a request that a runner has not refused as misdirected.
+
+        Args:
+            runner: Name of the runner.
+            at: Seconds of the event loop.
+            token: Unique id of the request.
+        """
+        self._arrivals.setdefault(runner, []).append((at, token))
+
+    def times(self, runner: str) -> list[float]:
+        """Returns when requests reached a runner.
+
+        Args:
+            runner: Name of the runner.
+        """
+        return [at for at, _token in self._arrivals.get(runner, ())]
+
+    def find_breaches(self, logs) -> list[Breach]:
+        """Compares the arrivals with evacuations and cold times.
+
+        Args:
+            logs: ``NodeLog`` of each node process, by its address; ``None``
+                if none was kept.
+
+        Returns:
+            At most one breach for each window.
+        """
+        found = []
+        for window in self.evacuations:
+            late = [
+                f'{token} after {at - window.began_at:.2f} s'
+                for at, token in self._find_sent(window)
+                if all(
+                    self._in_touch_s(node, window.began_at, at)
+                    > EVACUATION_BOUND_S
+                    for node in self._find_nodes(token, logs or {})
+                )
+            ]
+            if late:
+                detail = f'{window}: {len(late)} requests, {late[:5]}'
+                found.append(Breach('evacuation', detail))
+        for window, unknown_s in self.colds:
+            times = [
+                at
+                for at, token in self._find_sent(window)
+                if all(
+                    self._in_touch_s(node, window.began_at, at) >= unknown_s
+                    and not self._was_paused(node, at)
+                    for node in self._find_nodes(token, logs or {})
+                )
+            ]
+            counts = [
+                sum(first <= at < first + COLD_WINDOW_S for at in times)
+                for first in times
+            ]
+            if max(counts, default=0) > COLD_RATIO * COLD_PER_S + COLD_SLACK:
+                first = times[counts.index(max(counts))]
+                detail = f'{window}: {max(counts)} requests from {first:.2f}'
+                found.append(Breach('cold runners', detail))
+        return found
+
+    def _find_sent(self, window) -> list[tuple[float, str]]:
+        """Returns requests to a runner that were sent within a window."""
+        return [
+            (at, token)
+            for at, token in self._arrivals.get(window.name, ())
+            if window.began_at <= at < window.ended_at
+            and not any(
+                hold.name == window.name and hold.overlaps(at - HELD_S, at)
+                for hold in self.outages
+            )
+        ]
+
+    def _find_nodes(self, token, logs) -> list[str]:
+        """Returns the nodes of which one has sent a request to its runner."""
+        node = self.senders.get(token, '')
+        is_relayed = node in logs and token in logs[node].relayed
+        return list(logs) if is_relayed else [node]
+
+    def _find_outages(self, node) -> list[Window]:
+        return [one for one in self.outages if one.name in ('', node)]
+
+    def _was_paused(self, node, at: float) -> bool:
+        return any(
+            pause.name == node and pause.overlaps(at - COLD_WINDOW_S, at)
+            for pause in self.pauses
+        )
+
+    def _in_touch_s(self, node, since: float, until: float) -> float:
+        """Returns for how long a node was in touch within some time."""
+        total_s = 0.0
+        outages = self._find_outages(node)
+        for outage in sorted(outages, key=lambda one: one.began_at):
+            total_s += max(min(outage.began_at, until) - since, 0.0)
+            since = max(since, outage.ended_at)
+        return total_s + max(until - since, 0.0)
+
+
 class PromiseChecker:
     """Collects observations of callers and runners and finds breaches.
 
     Most promises are checked at once; those that need both sides are
-    checked by ``finish``. ``cut_answers`` checks answers that were cut.
+    checked by ``finish``. ``cut_answers`` checks answers that were cut,
+    ``arrivals`` requests to evacuated and cold runners.
     """
 
     def __init__(self):
         self.cut_answers = CutAnswerChecker()
+        self.arrivals = ArrivalChecker()
         self.breaches: list[Breach] = []
         self.outcomes: collections.Counter = collections.Counter()
         self._runs: collections.Counter = collections.Counter()
@@ -239,7 +378,6 @@
         self._at_most_once: set[str] = set()
         self._versions: dict[str, int] = {}
         self._ready: set[tuple[str, str, int]] = set()
-        self._arrivals: dict[str, list[float]] = {}
         self._node_starts: list[float] = []
 
     def record_at_most_once(self, token: str) -> None:
@@ -347,15 +485,6 @@
         if head_serves:
             self._add_breach('one group', runner)
 
-    def record_arrival(self, runner: str, at: float) -> None:
-        """Records a request that a runner has not refused as misdirected.
-
-        Args:
-            runner: Name of the runner.
-            at: Seconds of the event loop.
-        """
-        self._arrivals.setdefault(runner, []).append(at)
-
     def record_node_start(self, at: float) -> None:
         """Records that a node process has started or goes on.
 
@@ -377,7 +506,7 @@
         """
         times = [
             at
-            for at in self._arrivals.get(runner, ())
+            for at in self.arrivals.times(runner)
             if began_at + LIMIT_STABLE_S <= at < ended_at
         ]
         for first in times:
@@ -441,6 +570,7 @@
                     'true refusal', f'{token}: {self._runs[token]}'
                 )
         self.breaches += self.cut_answers.find_breaches(logs)
+        self.breaches += self.arrivals.find_breaches(logs)
         return self.breaches
 
     def _add_breach(self, promise: str, detail: str) -> None:
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -5,6 +5,7 @@
 import zlib
 
 from tests.platform import runner_standin
+from tests.soak import ledger
 from tests.soak import proxy
 
 EVENTS_PER_STREAM = 30
@@ -16,6 +17,7 @@
 JOIN_DELAY_S = 0.15
 OPEN_DELAY_S = 0.05
 MODEL_SIZE = 2
+COLD_S = 4.0
 
 
 def plain_body(token: str) -> bytes:
@@ -68,6 +70,7 @@
         places: Streams that run at once; further ones are refused. 0 for no
             limit.
         has_silence: Whether some streams fall silent and go on.
+        has_cold: Whether it is cold after a restart.
     """
 
     def __init__(
@@ -80,10 +83,13 @@
         cut_pids,
         places: int = 0,
         has_silence: bool = False,
+        has_cold: bool = False,
     ):
         super().__init__(name, service, store)
         self._places = places
         self._has_silence = has_silence
+        self._has_cold = has_cold
+        self._cold_until = 0.0
         self._running = 0
         self._cut_pids = cut_pids
         self.checker = checker
@@ -117,6 +123,40 @@
         self.members = []
         self.model = ''
         self.seq = self.newest_epoch = 0
+        if self._has_cold:
+            self._begin_cold(0.0)
+
+    def turn_cold(self) -> None:
+        """Becomes cold while it runs and shows it in its entry."""
+        self._begin_cold(ledger.COLD_UNKNOWN_S)
+        self.write_entry()
+
+    def _begin_cold(self, unknown_s: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._cold_until = now + COLD_S
+        self.checker.arrivals.colds.append(
+            (ledger.Window(self.name, now, self._cold_until), unknown_s)
+        )
+
+    def _find_cold_left_ms(self) -> int:
+        left_s = self._cold_until - asyncio.get_running_loop().time()
+        return max(int(left_s * 1000), 0)
+
+    def write_entry(self, state: str = 'ready') -> None:
+        """Writes its entry with the time for which it stays cold.
+
+        Args:
+            state: ``ready`` or ``draining``.
+        """
+        self.cold_left_ms = self._find_cold_left_ms()
+        super().write_entry(state)
+
+    def _named(self, headers) -> list:
+        # Of all answers only those to health checks tell that it is cold.
+        is_health = headers == [('Instance-Id', self.name)]
+        left_ms = self._find_cold_left_ms() if is_health else 0
+        self.faults.cold_ms = str(left_ms or '')
+        return super()._named(headers)
 
     def _serves(self) -> bool:
         return self.group is not None and self.group['state'] == 'open'
@@ -175,7 +215,7 @@
         ]
         headers = self._named(headers)
         if self.service == 'plain':
-            self.checker.record_arrival(self.name, seen.at)
+            self.checker.arrivals.record_arrival(self.name, seen.at, token)
             with self._recorded(token) as run:
                 await asyncio.sleep(runner_standin.EVENT_S)
                 runner_standin._send(writer, 200, headers, plain_body(token))
@@ -186,7 +226,7 @@
                 writer, 421, [('Instance-Id', self.name)], b''
             )
             return
-        self.checker.record_arrival(self.name, seen.at)
+        self.checker.arrivals.record_arrival(self.name, seen.at, token)
         if self._places and self._running >= self._places:
             self._refuse(writer, request_id)
             return
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -36,7 +36,7 @@
 
 def _over_limit(checker):
     for number in range(24):
-        checker.record_arrival('e1', 14.0 + number / 10)
+        checker.arrivals.record_arrival('e1', 14.0 + number / 10, 't')
     checker.check_rate('e1', 3.0, 10.0, 20.0)
 
 
@@ -98,10 +98,10 @@
         checker.record_ready(name, 'g1', 1)
     checker.check_group_run(['e1', 'e2'], 'g1', 1, 2)
     for number in range(26):  # the first three before the limit settles
-        checker.record_arrival('e1', 12.7 + number / 10)
+        checker.arrivals.record_arrival('e1', 12.7 + number / 10, 't')
     checker.check_rate('e1', 3.0, 10.0, 20.0)
     for number in range(24):  # beside the start of a node
-        checker.record_arrival('e2', 14.0 + number / 10)
+        checker.arrivals.record_arrival('e2', 14.0 + number / 10, 't')
     checker.record_node_start(12.0)
     checker.check_rate('e2', 3.0, 10.0, 20.0)
     checker.check_join('e1', False)
@@ -290,3 +290,87 @@
         ]
     )
     assert log == ledger.NodeLog({'t1': ['aborted']}, {'t1'})
+
+
+def _sent_to(checker, count, at, runner='e1'):
+    for number in range(count):
+        checker.arrivals.senders[f't{number}'] = 'n1'
+        checker.arrivals.record_arrival(runner, at, f't{number}')
+
+
+def _find(checker, is_relayed):
+    relayed = {'t0'} if is_relayed else set()
+    logs = {'n1': ledger.NodeLog({}, relayed), 'n2': ledger.NodeLog()}
+    return [found.promise for found in checker.finish(logs)]
+
+
+@pytest.mark.parametrize(
+    'at, outages, is_relayed, is_breach',
+    [
+        (9.9, (), False, False),  # before it
+        (14.9, (), False, False),
+        (15.1, (), False, True),
+        (15.1, (), True, True),
+        (19.9, (), False, True),
+        (20.0, (), False, False),  # removed
+        (15.5, (('n1', 9.0, 11.0),), False, False),
+        (15.5, (('n1', 9.0, 10.4),), False, True),
+        (15.5, (('', 11.0, 12.0),), False, False),
+        (15.5, (('n1', 11.0, 11.3), ('', 11.1, 11.4)), False, True),
+        (15.5, (('n1', 11.0, 11.3), ('', 11.3, 11.6)), False, False),
+        (15.5, (('n1', 15.2, 17.0),), False, True),  # it knew before
+        (15.5, (('n2', 9.0, 12.0),), False, True),
+        (15.5, (('n2', 9.0, 12.0),), True, False),
+        (15.5, (('e1', 14.0, 15.4),), False, False),  # held by the link
+        (15.5, (('e1', 12.0, 14.0),), False, True),
+        (15.5, (('e2', 14.0, 15.4),), False, True),
+    ],
+)
+def test_late_request_to_an_evacuated_runner_is_a_breach(
+    at, outages, is_relayed, is_breach
+):
+    """Guards against requests from nodes that had to know the row."""
+    checker = ledger.PromiseChecker()
+    checker.arrivals.evacuations.append(ledger.Window('e1', 10.0, 20.0))
+    checker.arrivals.outages += [ledger.Window(*one) for one in outages]
+    _sent_to(checker, 1, at)
+    _sent_to(checker, 1, 15.1, 'e2')
+    assert _find(checker, is_relayed) == ['evacuation'] * is_breach
+
+
+@pytest.mark.parametrize(
+    'counts, outages, pauses, is_relayed, unknown_s, is_breach',
+    [
+        ({10.1: 4, 11.0: 4}, (), (), False, 0.0, False),
+        ({10.1: 4, 11.0: 5}, (), (), False, 0.0, True),
+        ({10.1: 4, 11.2: 5}, (), (), False, 0.0, False),  # two windows
+        ({9.9: 4, 10.1: 5}, (), (), False, 0.0, False),  # not cold before
+        ({12.9: 4, 13.0: 5}, (), (), False, 0.0, False),  # warm
+        ({10.9: 9}, (), (), False, 1.0, False),  # not known yet
+        ({11.1: 9}, (), (), False, 1.0, True),
+        ({11.1: 9}, (('n1', 10.5, 10.8),), (), False, 1.0, False),
+        ({11.1: 9}, (('', 10.5, 10.8),), (), False, 1.0, False),
+        ({11.1: 9}, (('n2', 10.5, 10.8),), (), False, 1.0, True),
+        ({11.1: 9}, (('n2', 10.5, 10.8),), (), True, 1.0, False),
+        ({12.1: 9}, (('n1', 11.5, 12.5),), (), False, 1.0, True),
+        ({10.5: 9}, (), (('n1', 9.0, 9.4),), False, 0.0, True),
+        ({10.5: 9}, (), (('n1', 9.0, 9.6),), False, 0.0, False),
+        ({10.5: 9}, (), (('n2', 9.0, 9.6),), False, 0.0, True),
+        ({10.5: 9}, (), (('n2', 9.0, 9.6),), True, 0.0, False),
+        ({10.5: 9}, (('e1', 9.0, 10.4),), (), False, 0.0, False),
+        ({10.5: 9}, (('e2', 9.0, 10.4),), (), False, 0.0, True),
+    ],
+)
+def test_too_many_requests_to_a_cold_runner_are_a_breach(
+    counts, outages, pauses, is_relayed, unknown_s, is_breach
+):
+    """Guards against a sum over nodes above that of the platform's rule."""
+    checker = ledger.PromiseChecker()
+    checker.arrivals.colds.append((ledger.Window('e1', 10.0, 13.0), unknown_s))
+    checker.arrivals.outages += [ledger.Window(*one) for one in outages]
+    checker.arrivals.pauses += [ledger.Window(*one) for one in pauses]
+    for at, count in counts.items():
+        _sent_to(checker, count, at)
+        _sent_to(checker, 9, at, 'e2')
+    found = _find(checker, is_relayed)
+    assert found == ['cold runners'] * is_breach
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -41,7 +41,8 @@
 @pytest.mark.parametrize('targets', [(0,), (2,), (0, 1)])
 async def test_cut_off_processes_serve_through_others(tmp_path, targets):
     """With the first process, which leads, a follower, or all but one."""
-    soak_world = world.World(1, 3, tmp_path, is_timed=False)
+    load = world.Load(has_evacuations=False, has_cold=False)
+    soak_world = world.World(1, 3, tmp_path, is_timed=False, load=load)
     cuts = [faults.Fault(0.5, 'cut_off', n, 6.0) for n in targets]
     assert await soak_world.run(SECONDS, 4, cuts) == []
     for number in targets:
@@ -56,7 +57,9 @@
     """A seed always gives the same faults, and another seed others."""
     first, again, other = (
         faults.draw_faults(random.Random(s), 30.0)
-        + faults.draw_limits(random.Random(s), 30.0)
+        + faults.draw_kind(random.Random(s), 30.0, 'limit')
+        + faults.draw_kind(random.Random(s), 30.0, 'evacuate')
+        + faults.draw_kind(random.Random(s), 30.0, 'cold')
         + faults.draw_cuts(random.Random(s), 30.0)
         + faults.draw_pauses(random.Random(s), 30.0)
         for s in (seed, seed, seed + 1)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,6 +29,14 @@
 DOMAINS = 2
 ENGINES_PER_DOMAIN = 5
 PLAIN_RUNNERS = 2
+SURGE_REQUESTS = 40
+FIRST_SURGE = 1000  # number of its caller
+ZONES = ('a', 'b')  # failure domains; each has runners of both services
+EVACUATION_VALUE = b'\xff'  # any bytes are allowed
+COLD_MARGIN = {
+    'cold_overshoot': ledger.COLD_RATIO,
+    'cold_tolerance': ledger.COLD_SLACK,
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,7 +46,8 @@
     ``places`` is the number of streams that an engine holds, 0 for no limit;
     ``arrivals_per_s`` streams are sent whatever the callers wait for. With
     ``pause_s``, each node process is paused that long every ``pause_every_s``
-    seconds, and none at drawn times.
+    seconds, and none at drawn times. ``has_evacuations`` and ``has_cold`` are
+    parts of ``has_faults``.
     """
 
     has_silence: bool = True
@@ -48,6 +57,8 @@
     arrivals_per_s: float = 0.0
     pause_s: float = 0.0
     pause_every_s: float = 1.2
+    has_evacuations: bool = True
+    has_cold: bool = True
 
 
 class NodeProcess(processes.Process):
@@ -56,8 +67,9 @@
     ``restart_lock`` serialises stops and starts of overlapping faults.
     """
 
-    def __init__(self, name, store_link, store_address, directory):
-        cfg = conftest.settings(name, store_address, stop_s=STOP_LIMIT_S)
+    def __init__(self, name, store_link, store_address, directory, **bounds):
+        bounds['stop_s'] = STOP_LIMIT_S
+        cfg = conftest.settings(name, store_address, **bounds)
         super().__init__(cfg, directory / f'{name}.json')
         self.name = name
         self.store_link = store_link
@@ -105,6 +117,10 @@
         self._directory = directory
         self._node_count = nodes
         self._is_timed = is_timed
+        if not load.has_faults:
+            load = dataclasses.replace(
+                load, has_evacuations=False, has_cold=False
+            )
         self._load = load
         self._by_address: dict[str, NodeProcess] = {}
         self._recovery_s = RECOVERY_S if is_timed else UNTIMED_RECOVERY_S
@@ -116,6 +132,7 @@
         self.cut_pids: set[int] = set()
         self._stopping = False
         self._probe_callers = 0
+        self._surges = 0
 
     async def run(
         self, seconds: float, callers_count: int, drawn=None
@@ -161,8 +178,17 @@
         found = []
         if self._load.has_faults:
             found += faults.draw_faults(self._rng, seconds)
-            found += faults.draw_limits(random.Random(self._seed), seconds)
+            found += faults.draw_kind(
+                random.Random(self._seed), seconds, 'limit'
+            )
             found += faults.draw_cuts(random.Random(self._seed), seconds)
+            for kind, is_drawn in (
+                ('evacuate', self._load.has_evacuations),
+                ('cold', self._load.has_cold),
+            ):
+                if is_drawn:
+                    rng = random.Random(f'{kind} {self._seed}')
+                    found += faults.draw_kind(rng, seconds, kind)
         if self._load.pause_s:
             found += faults.regular_pauses(
                 self._node_count,
@@ -178,13 +204,13 @@
         await self.store.start()
         stack.push_async_callback(self.store.stop)
         self.publish_configuration()
-        names = [(f'p-{n}', 'plain', '') for n in range(PLAIN_RUNNERS)]
+        names = [(f'p-{n}', 'plain', '', n) for n in range(PLAIN_RUNNERS)]
         names += [
-            (f'e-{domain}-{n}', 'llm', f'd{domain}')
+            (f'e-{domain}-{n}', 'llm', f'd{domain}', domain)
             for domain in range(DOMAINS)
             for n in range(ENGINES_PER_DOMAIN)
         ]
-        for name, service, domain in names:
+        for name, service, domain, zone in names:
             runner = runners.Runner(
                 name,
                 service,
@@ -194,8 +220,11 @@
                 self.cut_pids,
                 self._load.places,
                 self._load.has_silence,
+                self._load.has_cold,
             )
             runner.domain = domain
+            if self._load.has_evacuations:
+                runner.zone = ZONES[zone % len(ZONES)]
             self.runners[name] = runner
             await runner.start()
             stack.push_async_callback(runner.stop)
@@ -203,7 +232,13 @@
             link = proxy.Proxy(self.store.address)
             address = await link.start()
             stack.push_async_callback(link.stop)
-            process = NodeProcess(f'n{number}', link, address, self._directory)
+            process = NodeProcess(
+                f'n{number}',
+                link,
+                address,
+                self._directory,
+                **(COLD_MARGIN if self._load.has_cold else {}),
+            )
             self.processes.append(process)
             stack.push_async_callback(self._shut_down, process)
             await process.start()
@@ -223,6 +258,10 @@
         cfg['routes'].append(
             conftest.route('version', f'/v{self.version}/', 'plain', 'safe')
         )
+        if self._load.has_cold:
+            for service in cfg['services']:
+                service['coldS'] = runners.COLD_S
+                service['coldPerS'] = ledger.COLD_PER_S
         self.store.put('op', 'config', cfg)
 
     async def stop_process(self, process, number) -> None:
@@ -286,6 +325,26 @@
         self.cut_pids.discard(pid)
         self.checker.cut_answers.record_node_end(node, began_at, _loop_time())
 
+    async def evacuate(self, zone: str, duration_s: float) -> None:
+        """Asks that nothing be sent to a failure domain for some time.
+
+        Args:
+            zone: Name of the failure domain.
+            duration_s: Seconds from the storing to the removal of the row.
+        """
+        key = f'evacuate/{zone}'
+        if ('op', '', key) in self.store.rows:
+            return
+        self.store.put('op', key, EVACUATION_VALUE)
+        began_at = _loop_time()
+        await asyncio.sleep(duration_s)
+        self.checker.arrivals.evacuations.extend(
+            ledger.Window(one.name, began_at, _loop_time())
+            for one in self.runners.values()
+            if one.zone == zone
+        )
+        self.store.put('op', key, None)
+
     def record_node_start(self) -> None:
         """Tells the checker that a node has started or goes on."""
         self.checker.record_node_start(asyncio.get_running_loop().time())
@@ -338,6 +397,24 @@
                 await asyncio.sleep(1.0 / self._load.arrivals_per_s)
             await asyncio.gather(*tasks)
 
+    async def send_surge(self, kind: str) -> None:
+        """Sends many requests at once, more than cold runners tolerate.
+
+        Args:
+            kind: Kind of the requests.
+        """
+        self._surges += 1
+        caller = callers.Caller(
+            FIRST_SURGE + self._surges, self, random.Random(self._surges)
+        )
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        ) as session:
+            await caller.ask(session, kind)
+            await asyncio.gather(
+                *(caller.ask(session, kind) for _ in range(SURGE_REQUESTS))
+            )
+
     async def _wait_until_all_kinds_served(self) -> dict[str, bool]:
         """Probes until each kind of request is served or time runs out.
 
