Bound what clients can hold of a node's memory and descriptors

Cause: a node keeps what clients send and do not read, with bounds per connection only. Bodies that stop short, one-byte chunks (48 bytes each in aiohttp's reader), heads of 120 fields of 60 KB, answers that are not read and unbounded connections exceed the smallest VM. Served requests for plain services also left their bodies in reference cycles.

Bodies of upstreams are read once there is room for them.

--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -66,6 +66,7 @@
         for upstream, per_second in state['upstream_limits'].items():
             limits.add_metric([upstream], per_second)
         yield limits
+        yield from self._client_metrics(state['clients'])
         yield core.CounterMetricFamily(
             'plantainway_relayed_bytes',
             'Bytes of updates sent to other nodes as leader',
@@ -81,6 +82,32 @@
             'plantainway_request_seconds', 'Time to the end of a request'
         )
 
+    def _client_metrics(self, clients: dict):
+        held = core.GaugeMetricFamily(
+            'plantainway_held_bytes',
+            'Bytes held for clients',
+            labels=['kind'],
+        )
+        held.add_metric(['upload'], clients['upload_bytes'])
+        held.add_metric(['answer'], clients['answer_bytes'])
+        yield held
+        opened = core.GaugeMetricFamily(
+            'plantainway_client_connections',
+            'Open connections of clients',
+            labels=['listener'],
+        )
+        for listener, count in clients['connections'].items():
+            opened.add_metric([listener], count)
+        yield opened
+        limited = core.CounterMetricFamily(
+            'plantainway_clients_limited',
+            'Clients refused or closed',
+            labels=['reason'],
+        )
+        for reason, count in sorted(clients['ended'].items()):
+            limited.add_metric([reason], count)
+        yield limited
+
 
 def exposition(node) -> bytes:
     """Returns all metrics in the Prometheus text format.
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -83,6 +83,7 @@
             self._loop_monitor,
             self._limit_task,
             self._link_task,
+            self._connections,
         ):
             self._spawn(self._run_until_cancelled(task.run))
         logs.event(
@@ -141,17 +142,25 @@
             clock,
         )
         self._register_listeners()
-        self._ingress = platform.Ingress(self._gateway, clock)
+        book = self._connections = platform.ConnectionBook(
+            clock,
+            platform.IntakeBounds.derive(
+                cfg.bounds.memory_mb, cfg.bounds.max_fds
+            ),
+        )
+        self._ingress = platform.Ingress(self._gateway, clock, book=book)
         self._relay_ingress = platform.Ingress(
-            self._gateway, clock, is_relay=True
+            self._gateway, clock, is_relay=True, book=book
         )
         self._directory = platform.DirectoryServer(
-            self._addresses_for, cfg.bounds.directory_ttl_s
+            self._addresses_for, cfg.bounds.directory_ttl_s, clock, book
         )
         self._readiness = platform.StatusServer(
             self.is_ready,
             functools.partial(_metrics.exposition, self),
             self.dump,
+            clock,
+            book,
         )
 
     def _create_dependencies(self) -> traffic.Dependencies:
@@ -569,6 +578,7 @@
             'store_calls': self._store.call_count,
             'relayed_bytes': self._hub.sent_bytes,
             'groups': self._controllers.dump(),
+            'clients': self._connections.dump(),
             'upstream_limits': self._limits.in_force(),
             'quarantined_parts': self._dependencies.quarantine.remaining_ms(),
         }
--- a/plantainway/edge/_settings.py
+++ b/plantainway/edge/_settings.py
@@ -36,7 +36,9 @@
     nodes, a service may get ``retry_ratio`` retries per request and
     ``retry_slack`` more in a window of ``retry_window_s`` seconds. Clients
     cache an answer of the directory for ``directory_ttl_s`` seconds or up to
-    three times as long.
+    three times as long. What clients may hold is derived from the memory of
+    the VM and the file descriptors of a process; without them it is not
+    bounded.
     """
 
     stop_s: float = 8.0
@@ -44,6 +46,8 @@
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
     directory_ttl_s: float = pydantic.Field(1.0, gt=0.0)
+    memory_mb: float = pydantic.Field(0.0, ge=0.0)
+    max_fds: int = pydantic.Field(0, ge=0)
 
 
 class EdgeSettings(pydantic.BaseModel):
--- a/plantainway/platform/__init__.py
+++ b/plantainway/platform/__init__.py
@@ -6,6 +6,8 @@
 from plantainway.platform._ingress import DirectoryServer
 from plantainway.platform._ingress import Ingress
 from plantainway.platform._ingress import StatusServer
+from plantainway.platform._intake import ConnectionBook
+from plantainway.platform._intake import IntakeBounds
 from plantainway.platform._messages import configuration_version
 from plantainway.platform._messages import decode_configuration
 from plantainway.platform._messages import decode_upstream
--- a/plantainway/platform/_ingress.py
+++ b/plantainway/platform/_ingress.py
@@ -6,6 +6,8 @@
 
 from plantainway import errors
 from plantainway import logs
+from plantainway.platform import _client_protocol
+from plantainway.platform import _intake
 from plantainway.platform import _messages
 from plantainway.platform import _names
 from plantainway import traffic
@@ -15,10 +17,18 @@
 KEEPALIVE_TIMEOUT_S = 75.0  # longer than the clients' own
 PROMPT_PARTS_MAX = 64  # of one request; their ids are kept and sent around
 PART_ID_CHARS_MAX = 64
-LINGERING_TIME_S = 2.0  # for reading the rest of a refused body
+HEAD_WITH_BODY_BYTES_MAX = 65536  # larger bodies are not copied to the head
 # When the accept queue is full, new connections are dropped and clients
 # wait seconds before they try again.
 LISTEN_BACKLOG_CONNECTIONS = 1024
+_SERVER_OPTIONS = {
+    'access_log': None,
+    'keepalive_timeout': KEEPALIVE_TIMEOUT_S,
+    'lingering_time': _client_protocol.LINGERING_TIME_S,
+    'max_field_size': 65536,
+    'max_line_size': 65536,
+    'auto_decompress': False,
+}
 # Headers that become fields of the request instead of being forwarded.
 _CONSUMED_HEADERS = frozenset(
     name.lower()
@@ -87,16 +97,19 @@
         gateway: Gateway that handles the decoded requests.
         clock: Source of monotonic time.
         is_relay: Whether the requests come from other nodes.
+        book: Book of all connections of the node; one without bounds if
+            ``None``.
 
     Attributes:
         is_closing: Set to true before the node stops; each answer then
             closes its connection.
     """
 
-    def __init__(self, gateway, clock, is_relay: bool = False):
+    def __init__(self, gateway, clock, is_relay: bool = False, book=None):
         self._gateway = gateway
         self._clock = clock
         self._is_relay = is_relay
+        self._book = book or _intake.ConnectionBook(clock)
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
         self._busy_handlers = set()  # connections with a running request
@@ -111,9 +124,18 @@
         Returns:
             The bound address.
         """
-        self._server, self._listener = await _start_server(
-            self._handle, address
+        server = _client_protocol.ClientServer(
+            self._handle,
+            self._book,
+            self._clock,
+            _intake.Listener.RELAY
+            if self._is_relay
+            else _intake.Listener.CALLER,
+            self._gateway.limits,
+            **_SERVER_OPTIONS,
         )
+        self._server = server
+        self._listener = await _listen(server, address)
         return _bound_address(self._listener)
 
     async def stop_accepting(self) -> None:
@@ -164,10 +186,16 @@
         try:
             req = await self._decode_request(http_request, arrived_at)
         except errors.BadRequestError as exc:
-            resp = web.Response(status=exc.http_status, text=exc.message)
-            if exc.http_status == 413:
-                resp.force_close()
-            return resp
+            return _refuse(exc)
+        conn = http_request.protocol
+        conn.begin_running()
+        if not self._book.may_begin(conn):
+            return self._encode_response(
+                req,
+                traffic.Response(
+                    503, retry_after_s=_intake.REFUSED_RETRY_AFTER_S
+                ),
+            )
         sink = _ResponseSink(http_request, self.is_closing)
         answer = await self._gateway.handle(req, sink)
         if answer is None:
@@ -183,7 +211,11 @@
             )
             sink.abort('answer begun twice')
             return sink.response
-        return self._encode_response(req, answer)
+        resp = self._encode_response(req, answer)
+        if len(answer.body) > HEAD_WITH_BODY_BYTES_MAX:
+            await resp.prepare(http_request)
+            http_request.writer.send_headers()
+        return resp
 
     async def _decode_request(
         self, http_request, arrived_at: float
@@ -194,14 +226,7 @@
             raise BodyTooLargeError('body too large', 'ingress')
         body = b''
         if http_request.body_exists:
-            parts = []
-            size = 0
-            while data := await http_request.content.readany():
-                size += len(data)
-                if size > limits.body_bytes:
-                    raise BodyTooLargeError('body too large', 'ingress')
-                parts.append(data)
-            body = b''.join(parts)
+            body = await self._read_body(http_request, limits.body_bytes)
         prompt, answer = _parse_token_counts(
             headers.get(_names.TOKEN_COUNT, '')
         )
@@ -242,6 +267,21 @@
             )
         return req
 
+    async def _read_body(self, http_request, size_max: int) -> bytes:
+        conn = http_request.protocol
+        body = bytearray()
+        try:
+            while data := await http_request.content.readany():
+                if len(body) + len(data) > size_max:
+                    raise BodyTooLargeError('body too large', 'ingress')
+                body += data
+                conn.record_body(http_request.content, len(body))
+            return bytes(body)
+        except web.RequestPayloadError:
+            raise errors.BadRequestError('body unreadable', 'ingress')
+        finally:
+            body.clear()  # the frame may live on in a traceback
+
     def _encode_response(self, req, answer: traffic.Response) -> web.Response:
         resp = web.Response(status=answer.status, body=answer.body)
         resp.headers.popall('Content-Type', None)
@@ -262,11 +302,15 @@
     Args:
         addresses: Function that returns the addresses for a region and zone.
         ttl_s: Time in seconds for which clients may cache an answer.
+        clock: Source of monotonic time.
+        book: Book of all connections of the node.
     """
 
-    def __init__(self, addresses, ttl_s: float):
+    def __init__(self, addresses, ttl_s: float, clock, book):
         self._addresses = addresses
         self._ttl_s = ttl_s
+        self._clock = clock
+        self._book = book
         self._server = None
         self._listener = None
 
@@ -279,9 +323,14 @@
         Returns:
             The bound address.
         """
-        self._server, self._listener = await _start_server(
-            self._handle, address
+        self._server = _client_protocol.ClientServer(
+            self._handle,
+            self._book,
+            self._clock,
+            _intake.Listener.DIRECTORY,
+            **_SERVER_OPTIONS,
         )
+        self._listener = await _listen(self._server, address)
         return _bound_address(self._listener)
 
     async def close(self) -> None:
@@ -312,12 +361,16 @@
         is_ready: Function that returns whether the node accepts requests.
         metrics: Function that returns the metrics as text.
         dump: Function that returns the state of the node as a JSON object.
+        clock: Source of monotonic time.
+        book: Book of all connections of the node.
     """
 
-    def __init__(self, is_ready, metrics, dump):
+    def __init__(self, is_ready, metrics, dump, clock, book):
         self._is_ready = is_ready
         self._metrics = metrics
         self._dump = dump
+        self._clock = clock
+        self._book = book
         self._servers = []
 
     async def listen(self, address: str) -> str:
@@ -329,7 +382,14 @@
         Returns:
             The bound address.
         """
-        server, listener = await _start_server(self._handle, address)
+        server = _client_protocol.ClientServer(
+            self._handle,
+            self._book,
+            self._clock,
+            _intake.Listener.STATUS,
+            **_SERVER_OPTIONS,
+        )
+        listener = await _listen(server, address)
         self._servers.append((server, listener))
         return _bound_address(listener)
 
@@ -352,27 +412,26 @@
         return web.Response(status=404)
 
 
-async def _start_server(handler, address: str):
-    loop = asyncio.get_running_loop()
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-        lingering_time=LINGERING_TIME_S,
-        max_field_size=65536,
-        max_line_size=65536,
-        auto_decompress=False,
-    )
+def _refuse(exc: errors.BadRequestError) -> web.Response:
+    resp = web.Response(status=exc.http_status, text=exc.message)
+    if exc.http_status == 503:
+        resp.headers[_names.RETRY_AFTER] = (
+            f'{_intake.REFUSED_RETRY_AFTER_S:.3f}'
+        )
+    if exc.http_status in (408, 413, 503):
+        resp.force_close()
+    return resp
+
+
+async def _listen(server, address: str) -> asyncio.Server:
     host, _, port = address.rpartition(':')
-    listener = await loop.create_server(
+    return await asyncio.get_running_loop().create_server(
         server,
         host,
         int(port),
         backlog=LISTEN_BACKLOG_CONNECTIONS,
         reuse_address=True,
     )
-    return server, listener
 
 
 def _bound_address(listener) -> str:
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -14,6 +14,7 @@
 from plantainway import logs
 from plantainway import loops
 from plantainway.platform import _connections
+from plantainway.platform import _intake
 from plantainway.platform import _messages
 from plantainway.platform import _names
 from plantainway import sessions
@@ -27,6 +28,7 @@
 HEALTH_TIMEOUT_S = 1.0  # a check waits for a slot as requests do
 REPORT_TIMEOUT_S = 0.25  # a report needs no slot and takes about 10 ms
 RESPONSE_BYTES_MAX = 4 << 20  # of a body that is read as a whole
+READ_BUFFER_BYTES = 65536  # of each response that is not read yet
 REPORT_BYTES_MAX = 1 << 20  # reports have some KB
 CONTROL_BYTES_MAX = 1 << 16  # of answers whose body is not used
 DEADLINE_MARGIN_MS = 5  # for returning the answer to the client
@@ -89,6 +91,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         timeout=aiohttp.ClientTimeout(total=None),
+        read_bufsize=READ_BUFFER_BYTES,
     )
     session._retry_connection = False  # see plantainway.sessions
     return session
@@ -126,18 +129,28 @@
 
     async def read(self) -> bytes:
         """Returns the whole body; see the base class."""
+        hold = _intake.AnswerHold()
         parts = []
-        size = 0
-        while data := await self.next_chunk():
-            size += len(data)
-            if size > RESPONSE_BYTES_MAX:
-                raise errors.UpstreamError(
-                    f'response body exceeds {RESPONSE_BYTES_MAX} bytes',
-                    'body',
-                    self._peer,
-                )
-            parts.append(data)
-        return b''.join(parts)
+        try:
+            await hold.extend_to(
+                min(self._resp.content_length or 0, RESPONSE_BYTES_MAX)
+            )
+            size = 0
+            while data := await self.next_chunk():
+                size += len(data)
+                if size > RESPONSE_BYTES_MAX:
+                    raise errors.UpstreamError(
+                        f'response body exceeds {RESPONSE_BYTES_MAX} bytes',
+                        'body',
+                        self._peer,
+                    )
+                await hold.extend_to(size)
+                parts.append(data)
+            return b''.join(parts)
+        except BaseException:
+            hold.release()
+            parts.clear()  # the frame may live on in a traceback
+            raise
 
     async def next_chunk(self) -> bytes:
         """Returns the next part of the body; see the base class."""
--- a/plantainway/traffic/_plain.py
+++ b/plantainway/traffic/_plain.py
@@ -117,6 +117,11 @@
         except TimeoutError:
             for number in state.attempts.open_numbers:
                 state.open_attempts[number].blame_silence()
+        finally:
+            # A reference cycle would keep the bodies until the next garbage
+            # collection.
+            state.open_attempts.clear()
+            state.tasks.clear()
         return state.answer or self._unserved(state)
 
     def _unserved(self, state) -> _types.Response:
