--- a/plantainway/platform/_client_protocol.py
+++ b/plantainway/platform/_client_protocol.py
@@ -116,7 +116,7 @@
             if self._request_count > seen and self._messages:
                 self._payload = self._messages[-1][1]
                 self._head_size = 0
-            elif is_head and not self._buffer_paused:
+            elif is_head:
                 self._head_size += end - place
                 self._check_head()
             place = end
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -9,6 +9,7 @@
 from plantainway import clock as clocks
 from plantainway import deployment
 from plantainway import platform
+from plantainway.platform import _client_protocol
 from plantainway.platform import _intake
 from plantainway import traffic
 
@@ -44,6 +45,7 @@
 
     def __init__(self):
         self.bodies: list[bytes] = []
+        self.ahead = 0  # requests that were parsed before they were begun
         self.limits = deployment.Limits()
         gateway = types.SimpleNamespace(
             handle=self._handle, limits=lambda: self.limits
@@ -56,6 +58,8 @@
 
     async def _handle(self, req, _sink):
         self.bodies.append(req.body)
+        _book, conn = _intake.CONNECTION.get()
+        self.ahead = max(self.ahead, len(conn._messages))
         return traffic.Response(200, body=b'answer')
 
     async def open(self):
@@ -116,14 +120,21 @@
     assert not served.book.counts
 
 
+@pytest.mark.parametrize('first', [b'', _with_length(b'x' * BODY_BYTES)])
 @pytest.mark.parametrize('step', [1, 40, 100])
-async def test_requests_sent_ahead_are_all_answered(served, step):
-    """Guards against requests that are dropped while reading is paused."""
+async def test_requests_sent_ahead_are_all_answered(served, step, first):
+    """Guards against requests that are dropped, or kept in numbers.
+
+    More is read at a time after a large body.
+    """
+    served.writer.write(first)
     one = b'GET /x HTTP/1.1\r\nHost: h\r\nf: %b\r\n\r\n' % (b'x' * 1000)
+    count = 200 // step * step + bool(first)
     for _ in range(200 // step):
         served.writer.write(one * step)
-    data = await served.read(200 // step * step)
-    assert data.count(b'HTTP/1.1 200') == 200 // step * step
+    data = await served.read(count)
+    assert data.count(b'HTTP/1.1 200') == count
+    assert served.ahead <= _client_protocol.MESSAGES_AHEAD_MAX + 1
     assert not served.book.counts
 
 
