--- a/plantainway/edge/_metrics.py
+++ b/plantainway/edge/_metrics.py
@@ -87,6 +87,7 @@
             limits.add_metric([upstream], per_second)
         yield limits
         yield from _model_gauges(state['groups'])
+        yield from self._client_metrics(state['clients'])
         yield core.CounterMetricFamily(
             'plantainway_relayed_bytes',
             'Bytes of updates sent to other nodes as leader',
@@ -102,6 +103,32 @@
             'plantainway_request_seconds', 'Time to the end of a request'
         )
 
+    def _client_metrics(self, clients: dict):
+        held = core.GaugeMetricFamily(
+            'plantainway_held_bytes',
+            'Bytes held for clients',
+            labels=['kind'],
+        )
+        held.add_metric(['upload'], clients['upload_bytes'])
+        held.add_metric(['answer'], clients['answer_bytes'])
+        yield held
+        opened = core.GaugeMetricFamily(
+            'plantainway_client_connections',
+            'Open connections of clients',
+            labels=['listener'],
+        )
+        for listener, count in clients['connections'].items():
+            opened.add_metric([listener], count)
+        yield opened
+        limited = core.CounterMetricFamily(
+            'plantainway_clients_limited',
+            'Clients refused or closed',
+            labels=['reason'],
+        )
+        for reason, count in sorted(clients['ended'].items()):
+            limited.add_metric([reason], count)
+        yield limited
+
 
 def _model_gauges(groups):
     """Yields the demand and the groups of each model, on the leader only."""
--- a/plantainway/edge/_settings.py
+++ b/plantainway/edge/_settings.py
@@ -37,7 +37,9 @@
     ``retry_slack`` more in a window of ``retry_window_s`` seconds. Clients
     cache an answer of the directory for ``directory_ttl_s`` seconds or up to
     three times as long. A cold upstream may be sent ``cold_overshoot`` times
-    its rate and ``cold_tolerance`` requests more in a second.
+    its rate and ``cold_tolerance`` requests more in a second. What clients may
+    hold is derived from the memory of the VM and the file descriptors of a
+    process; without them it is not bounded.
     """
 
     stop_s: float = 8.0
@@ -47,6 +49,8 @@
     directory_ttl_s: float = pydantic.Field(1.0, gt=0.0)
     cold_overshoot: float = pydantic.Field(1.0, ge=0.0)
     cold_tolerance: float = pydantic.Field(0.0, ge=0.0)
+    memory_mb: float = pydantic.Field(0.0, ge=0.0)
+    max_fds: int = pydantic.Field(0, ge=0)
 
 
 class EdgeSettings(pydantic.BaseModel):
