--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1594,7 +1594,7 @@
         'a new leader keeps what has been moved',
         'plantainway/supply/_balance.py',
         'self._corrections = '
-        '_standing_corrections(profile, targets, standing)',
+        '_implied_corrections(profile, targets, existing)',
         'self._corrections = {}',
         'tests/supply/test_balance.py',
     ),
--- a/plantainway/supply/_balance.py
+++ b/plantainway/supply/_balance.py
@@ -9,8 +9,8 @@
 from plantainway.supply import _repair
 from plantainway.supply import _state
 
-# At the peak of a demand that swings by 0.55, groups used to 0.4 on average
-# are used to 0.62, where one request in twenty is late.
+# At the peak of a demand that swings by 0.55, groups at a mean utilisation of
+# 0.4 are at 0.62, where one request in twenty is late.
 MIN_UTILIZATION = 0.4
 # Below this ratio a move gains less than the loads cost; see
 # docs/design/rebalancing.md.
@@ -95,14 +95,14 @@
         """
         self._moves.clear()
         self._held_until.clear()
-        standing = {
+        existing = {
             model.name: sum(
                 _count_groups(view, model.name) + _formable_groups(view, model)
                 for view in views
             )
             for model in profile.models
         }
-        self._corrections = _standing_corrections(profile, targets, standing)
+        self._corrections = _implied_corrections(profile, targets, existing)
         for model in profile.models:
             left = max(self._corrections.get(model.name, 0), 0)
             for view in views:
@@ -300,13 +300,15 @@
             if _has_leaving(view) or any(
                 name in view.groups for name in progress.move.closing
             ):
-                continue  # the spares are not to load in place of these
+                # The engines of the closing group load the model. Spares stay
+                # available for repairs until it has closed.
+                continue
             # Engines without weights are no spares of any model.
-            cold = sorted(
+            unstaged = sorted(
                 (e for e in idle if e not in staged),
                 key=lambda e: bool(e.upstream.staged),
             )
-            chosen = cold[: max(min(wanted, load_budget), 0)]
+            chosen = unstaged[: max(min(wanted, load_budget), 0)]
             load_budget -= len(chosen)
             actions += [_state.Warm(e.name, receiver.name) for e in chosen]
         return actions
@@ -473,10 +475,10 @@
     return _repair.CLOSE_TIMEOUT_S + max_load_s + MOVE_MARGIN_S
 
 
-def _standing_corrections(profile, targets, standing) -> dict[str, int]:
-    """Returns the corrections of the targets that standing groups imply."""
+def _implied_corrections(profile, targets, existing) -> dict[str, int]:
+    """Returns the corrections of the targets that existing groups imply."""
     gained = {
-        model.name: max(standing[model.name] - targets[model.name].base, 0)
+        model.name: max(existing[model.name] - targets[model.name].base, 0)
         for model in profile.models
     }
     engines = sum(
@@ -485,7 +487,7 @@
     corrections = {}
     released = 0
     for model in profile.models:
-        missing = max(targets[model.name].base - standing[model.name], 0)
+        missing = max(targets[model.name].base - existing[model.name], 0)
         given = min(missing, math.ceil((engines - released) / model.members))
         if given > 0:
             corrections[model.name] = -given
