--- a/plantainway/supply/_balance.py
+++ b/plantainway/supply/_balance.py
@@ -547,10 +547,10 @@
 def _formable_groups(view, model) -> int:
     """Returns how many groups idle and loading engines can form.
 
-    One engine is left as a spare.
+    The spares of the domain are left, one of them with the model's weights.
     """
-    staged = sum(
-        model.name in engine.upstream.staged
-        for engine in _plan.idle_engines(view)
-    ) + sum(name == model.name for name in view.loading.values())
-    return max(staged - 1, 0) // model.members
+    idle = _plan.idle_engines(view)
+    staged = sum(model.name in engine.upstream.staged for engine in idle)
+    staged += sum(name == model.name for name in view.loading.values())
+    free = len(idle) + len(view.loading) - _plan.SPARES_PER_DOMAIN
+    return max(min(staged - 1, free), 0) // model.members
--- a/tests/supply/test_balance.py
+++ b/tests/supply/test_balance.py
@@ -45,6 +45,7 @@
         self.balancer = _balance.Balancer(self.clock)
         self.groups = [dict(zip(('big', 'small'), item)) for item in groups]
         self.idle = list(idle)
+        self.staged = 'big'
         total = self.total()
         self.targets = {
             name: _plan.GroupTarget(count, 0)
@@ -63,7 +64,7 @@
         for index, groups in enumerate(self.groups):
             domain = f'd{index}'
             engines = [
-                test_plan.make_engine(f'{domain}-i{n}', 'big')
+                test_plan.make_engine(f'{domain}-i{n}', self.staged)
                 for n in range(self.idle[index])
             ]
             records = {
@@ -315,6 +316,23 @@
     assert tuple(site.correct().values()) == base
 
 
+@pytest.mark.parametrize('idle, base', [(2, 1), (3, 2), (4, 2)])
+def test_spares_form_no_group_of_a_former_donor(idle, base):
+    """Guards against a repair without spares, at a model with one member."""
+    site = Site(
+        make_profile(12, 1), [(1, 1)], [idle], base={'big': 1, 'small': 4}
+    )
+    site.staged = 'small'
+    site.balancer.begin(
+        _balance.Move('d0', 'small', 'big', (), 0, {'small': -3, 'big': 0}),
+        site.views(),
+        1e9,
+    )
+    site.balancer.remove_ended(site.views(), site.profile)
+    assert site.plan(make_demand(0.2, 0.2)) is None
+    assert site.correct()['small'] == base
+
+
 @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
 @hypothesis.given(
     level=strategies.floats(0.05, 1.5),
