Demand: drop samples before the first work only for moves

Dropping them for all changed busy_groups(), and so the demanded groups of every deployment, in the first seconds: after 4 s without work and 1 s with 4 busy groups it was unknown, as before moves existed it is 1.0 again.

--- a/plantainway/supply/_demand.py
+++ b/plantainway/supply/_demand.py
@@ -30,12 +30,13 @@
     def __init__(self, clock):
         self._clock = clock
         self._samples: collections.deque = collections.deque()
+        self._started_at: float | None = None  # of the first work
 
     def record(self, totals: dict[str, float]) -> None:
         """Adds a sample of the cumulative work.
 
         Samples that follow the last one within ``SAMPLE_INTERVAL_S`` are
-        dropped, and all samples before the first work.
+        dropped.
 
         Args:
             totals: Group-seconds of work by model, counted from any fixed
@@ -44,8 +45,13 @@
         now = self._clock.now()
         if self._samples and now - self._samples[-1][0] < SAMPLE_INTERVAL_S:
             return
-        if not any(totals.values()):
-            self._samples.clear()
+        if self._samples and self._started_at is None:
+            started_at, before = self._samples[-1]
+            if any(
+                total > before.get(model, 0.0)
+                for model, total in totals.items()
+            ):
+                self._started_at = started_at
         self._samples.append((now, totals))
         while now - self._samples[0][0] > HISTORY_S:
             self._samples.popleft()
@@ -53,6 +59,7 @@
     def clear(self) -> None:
         """Drops all samples, since the totals may have a gap."""
         self._samples.clear()
+        self._started_at = None
 
     def busy_groups(self) -> dict[str, float]:
         """Returns the average number of busy groups by model.
@@ -74,9 +81,14 @@
     def summarize(self) -> Demand | None:
         """Returns mean and peak of the last ``HISTORY_S``.
 
-        The result is ``None`` until samples span ``MIN_SPAN_S``.
+        Samples before the first work are left out. The result is ``None``
+        until the others span ``MIN_SPAN_S``.
         """
-        samples = list(self._samples)
+        if self._started_at is None:
+            return None
+        samples = [
+            item for item in self._samples if item[0] >= self._started_at
+        ]
         if not samples or samples[-1][0] - samples[0][0] < MIN_SPAN_S:
             return None
         peak: dict[str, float] = {}
--- a/tests/supply/test_balance.py
+++ b/tests/supply/test_balance.py
@@ -407,6 +407,20 @@
     assert meter.summarize() is None
 
 
+def test_busy_groups_count_the_time_before_the_first_work():
+    """Guards against other targets in deployments without moves.
+
+    Without these samples the demand was unknown for the first 2 s of work.
+    """
+    clock = clocks.ManualClock()
+    meter = _demand.DemandMeter(clock)
+    for total in (0.0, 0.0, 0.0, 0.0, 4.0):
+        meter.record({'big': total})
+        clock.advance(1.0)
+    assert meter.busy_groups() == {'big': pytest.approx(1.0)}
+    assert meter.summarize() is None
+
+
 class _Fleet(test_control.Harness):
     """A controller of two models with demand; ``busy`` is by model."""
 
