Balancer: rebuild the groups that a donor needs before the receiver gains

While a former donor has fewer groups than 1.5 times its measured peak, and a domain can form one, moves begin no loads and leave that domain's engines to it; its target keeps up with a peak that rises after the move (1.6 at the move, then 3.4: 5 groups before, 6 now).

With fake engines, 6 groups each, demand 2.4 and 5.6: a group of the donor closes while two others are lost. Four are needed; 2 s later 3 were open, as the freed engines loaded the receiver's model, now 4 are.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1606,6 +1606,20 @@
         '1.0',
         'tests/supply/test_balance.py',
     ),
+    Mutant(
+        'a donor gets groups back that a higher peak needs',
+        'plantainway/supply/_balance.py',
+        '                    min(self._needed_by_donor(name), target.base),\n',
+        '',
+        'tests/supply/test_balance.py',
+    ),
+    Mutant(
+        'groups that a donor needs come before those of a move',
+        'plantainway/supply/_balance.py',
+        'self._domains_for_donors(views, profile, targets)',
+        'frozenset()',
+        'tests/supply/test_balance.py',
+    ),
     Mutant(
         'one move at a time in a domain',
         'plantainway/supply/_balance.py',
@@ -1638,8 +1652,7 @@
     Mutant(
         'a new leader keeps what has been moved',
         'plantainway/supply/_balance.py',
-        'self._corrections = '
-        '_implied_corrections(profile, targets, existing)',
+        'self._corrections = _implied_corrections(profile, targets, existing)',
         'self._corrections = {}',
         'tests/supply/test_balance.py',
     ),
--- a/plantainway/supply/_balance.py
+++ b/plantainway/supply/_balance.py
@@ -82,6 +82,8 @@
         self._corrections: dict[str, int] = {}
         self._moves: dict[str, _Progress] = {}
         self._held_until: dict[str, float] = {}
+        # Groups by model that the measured peak needs with headroom.
+        self._needed: dict[str, int] = {}
 
     @property
     def domains(self) -> frozenset:
@@ -104,6 +106,7 @@
         """
         self._moves.clear()
         self._held_until.clear()
+        self._needed.clear()
         existing = {
             model.name: sum(
                 _count_groups(view, model.name) + _formable_groups(view, model)
@@ -128,6 +131,9 @@
     def correct(self, targets: dict, views) -> dict:
         """Returns the targets by share with all moves applied.
 
+        A former donor keeps the groups that its measured peak needs, as far
+        as its share allows, also if the peak has risen since the move.
+
         Groups that a move has yet to form are left out: other engines, such
         as the spares of other domains, must not form them.
 
@@ -143,12 +149,44 @@
                     target.base
                     + self._corrections.get(name, 0)
                     - missing.get(name, 0),
+                    min(self._needed_by_donor(name), target.base),
                     1,
                 ),
             )
             for name, target in targets.items()
         }
 
+    def _needed_by_donor(self, name: str) -> int:
+        """Returns how many groups a former donor needs, 0 for others."""
+        if self._corrections.get(name, 0) >= 0:
+            return 0
+        return self._needed.get(name, 0)
+
+    def _domains_for_donors(self, views, profile, targets) -> frozenset:
+        """Returns the domains that can form a group that a donor needs now.
+
+        Their idle engines, and the loads that may start, are left to it.
+        """
+        max_loads = _pacing.max_load_starts(profile)
+        has_leaving = any(_has_leaving(view) for view in views)
+        found = set()
+        for model in profile.models:
+            needed = min(
+                self._needed_by_donor(model.name), targets[model.name].base
+            )
+            groups = sum(_count_groups(view, model.name) for view in views)
+            if groups >= needed:
+                continue
+            for view in views:
+                idle = _plan.idle_engines(view)
+                staged = sum(model.name in e.upstream.staged for e in idle)
+                loads = max(model.members - staged, 0)
+                if len(idle) >= model.members and (
+                    not loads or (loads <= max_loads and not has_leaving)
+                ):
+                    found.add(view.domain)
+        return frozenset(found)
+
     def _missing_groups(self, views) -> dict[str, int]:
         """Returns how many groups of each model moves have yet to form."""
         missing: dict[str, int] = {}
@@ -209,6 +247,11 @@
             demand: Measured demand, ``None`` while too little is measured.
             max_loads: Number of loads that may run at once.
         """
+        if demand is not None:
+            self._needed = {
+                name: math.ceil(peak * DONOR_HEADROOM)
+                for name, peak in demand.peak.items()
+            }
         if demand is None or any(view.is_evacuated for view in views):
             # Groups of evacuated domains stand, but serve neither model.
             return None
@@ -274,23 +317,30 @@
             deadline,
         )
 
-    def continue_moves(self, views, profile, load_budget: int) -> list:
+    def continue_moves(
+        self, views, profile, targets, load_budget: int
+    ) -> list:
         """Chooses the groups that moves form and the loads that they begin.
 
-        Beside the members of the new groups spares load the receiver's
-        model: one, or two if the domain has groups of no other model.
+        Groups that a donor has lost but needs come first. Beside the members
+        of the new groups spares load the receiver's model: one, or two if the
+        domain has groups of no other model.
 
         Args:
             views: The fabric domains.
             profile: The engine profile.
+            targets: Current targets by model.
             load_budget: Number of loads that may start now.
         """
         actions: list = []
+        donor_domains = self._domains_for_donors(views, profile, targets)
+        if donor_domains:
+            load_budget = 0
         for view in views:
             progress = self._moves.get(view.domain)
             if progress is None or not progress.missing(view):
                 continue
-            if view.is_evacuated:
+            if view.is_evacuated or view.domain in donor_domains:
                 continue
             receiver = profile.find_model(progress.move.receiver)
             missing = progress.missing(view)
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -328,7 +328,7 @@
                 engines, self._groups, len(self._warmups.models), now
             )
             for action in self._balancer.continue_moves(
-                views, self.profile, load_budget
+                views, self.profile, counts.targets, load_budget
             ):
                 self._apply(action, engines, now)
 
--- a/tests/supply/test_balance.py
+++ b/tests/supply/test_balance.py
@@ -281,7 +281,12 @@
     """They may have to repair other groups for as long as that takes."""
     site = make_site()
     site.plan(make_demand(2.2, 7.4))
-    go_on = site.balancer.continue_moves
+
+    def go_on(views, profile, load_budget):
+        return site.balancer.continue_moves(
+            views, profile, site.targets, load_budget
+        )
+
     assert go_on(site.views(), site.profile, 8) == []
     site.closing[0], site.idle[0] = {}, 15
     assert len(go_on(site.views(), site.profile, 8)) == 8
@@ -646,6 +651,44 @@
     assert fleet.counts() == after
 
 
+@pytest.mark.parametrize('peak, base', [(2.6, 5), (3.4, 6), (9.0, 6)])
+def test_donor_keeps_what_a_higher_peak_needs(peak, base):
+    """Guards against a donor whose peak was higher than in the first 4 s."""
+    site = make_site()
+    site.carry_out(site.plan(make_demand(1.6, 8.0, measured_s=4.0)))
+    assert site.plan(make_demand(1.6, 8.0, peak, measured_s=10.0)) is None
+    assert site.correct()['big'] == base
+
+
+async def test_lost_groups_of_the_donor_come_first():
+    """Guards against loads for the receiver while its donor lacks groups.
+
+    The engines of a group that closes replace the groups that the donor
+    loses meanwhile, up to the four that its peak needs.
+    """
+    fleet = _Fleet({'big': 2.4, 'small': 5.6})
+    await fleet.run(8.0)
+    by_name = fleet.engines.by_name
+    for _tick in range(50):
+        await fleet.run_traffic(0.1)
+        if fleet.control._balancer.domains:
+            break
+    (domain,) = fleet.control._balancer.domains
+    heads = {
+        engine.domain: engine
+        for engine in by_name.values()
+        if engine.state is deployment.GroupState.OPEN and engine.model == 'big'
+    }
+    other = next(name for name in heads if name != domain)
+    lost = heads[domain].members[:2] + heads[other].members
+    for name in lost:
+        by_name[name].is_dead = True
+    for name in (domain, other):
+        fleet.control.probe_group(heads[name].name)
+    await fleet.run_traffic(2.0)
+    assert fleet.counts() == (4, 6)
+
+
 async def test_no_move_begins_without_the_store():
     """Old entries do not show which groups could be closed."""
     fleet = _Fleet({'big': 0.5, 'small': 4.2})
