Table cache: name in plain terms which missing rows are kept

is_lost returned whether a row stays known; it is keeps_missing now, and _outlasts and _add_outlasting are _is_kept_if_missing and _add_missing. No change of behaviour.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -517,7 +517,7 @@
         'plantainway/cluster/_follower.py',
         'if row.version > version\n'
         '            or row.key in self._kept_keys\n'
-        '            or self._outlasts(row, self.version)\n',
+        '            or self._is_kept_if_missing(row, self.version)\n',
         'if True\n',
         'tests/cluster/test_hub.py tests/cluster/test_follower.py',
     ),
@@ -1456,7 +1456,7 @@
     Mutant(
         'a row lost in a restore stays in force',
         'plantainway/cluster/_follower.py',
-        '            if self._outlasts(self.rows[key], version):',
+        '            if self._is_kept_if_missing(self.rows[key], version):',
         '            if False:',
         'tests/edge/test_evacuation.py',
     ),
@@ -1470,14 +1470,14 @@
     Mutant(
         'a lost row reaches nodes whose table is newer',
         'plantainway/cluster/_follower.py',
-        '            self._add_outlasting(reading.rows)\n',
+        '            self._add_missing(reading.rows)\n',
         '',
         'tests/edge/test_evacuation.py',
     ),
     Mutant(
         'a lost row is relayed',
         'plantainway/cluster/_follower.py',
-        '            or self._outlasts(row, self.version)\n',
+        '            or self._is_kept_if_missing(row, self.version)\n',
         '',
         'tests/edge/test_evacuation.py',
     ),
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -27,9 +27,9 @@
             that time is over, so that their writers can write them again.
         ranks: Functions by key that return the rank of the row's value, which
             grows with each change. Such rows are never removed.
-        is_lost: Function of the key and version of a known row and of the
-            version of a snapshot that lacks it. Returns whether the row stays
-            known all the same, until a change removes it.
+        keeps_missing: Function of the key and version of a known row and of
+            the version of a snapshot that lacks it. Returns whether the row
+            is kept all the same, until a change removes it.
 
     Attributes:
         rows: Rows by key.
@@ -47,10 +47,10 @@
         clock,
         defers_removals: bool = False,
         ranks=None,
-        is_lost=None,
+        keeps_missing=None,
     ):
         self._ranks = ranks or {}
-        self._is_lost = is_lost
+        self._keeps_missing = keeps_missing
         self._kept_keys: set[str] = set()
         self.name = name
         self._clock = clock
@@ -120,7 +120,7 @@
                 cache holds already; ``None`` if it has all rows.
         """
         if reading.version < self.version:
-            self._add_outlasting(reading.rows)
+            self._add_missing(reading.rows)
             return
         self._record_contact()
         present = (
@@ -129,7 +129,7 @@
             else {row.key for row in reading.rows}
         )
         removed_keys = [key for key in self.rows if key not in present]
-        removed_keys = self._without_lost(removed_keys, reading.version)
+        removed_keys = self._without_kept(removed_keys, reading.version)
         changed = [row for row in reading.rows if self._replaces(row)]
         self._update_rows(changed, removed_keys, reading.version, as_of)
 
@@ -161,28 +161,29 @@
             list(changed.values()), list(removed_keys), reading.version, as_of
         )
 
-    def _without_lost(self, keys, version: int) -> list:
+    def _without_kept(self, keys, version: int) -> list:
         """Returns those of some keys that a snapshot shows to be removed."""
         removed_keys = []
         for key in keys:
-            if self._outlasts(self.rows[key], version):
+            if self._is_kept_if_missing(self.rows[key], version):
                 logs.event('lost_row_kept', table=self.name, key=key)
             else:
                 removed_keys.append(key)
         return removed_keys
 
-    def _outlasts(self, row, version: int) -> bool:
-        """Returns whether a row counts although a snapshot lacks it."""
-        return self._is_lost is not None and self._is_lost(
+    def _is_kept_if_missing(self, row, version: int) -> bool:
+        """Returns whether a row is kept although a snapshot lacks it."""
+        return self._keeps_missing is not None and self._keeps_missing(
             row.key, row.version, version
         )
 
-    def _add_outlasting(self, rows) -> None:
+    def _add_missing(self, rows) -> None:
         """Adds those rows of an older snapshot that the store has lost."""
         missing = [
             row
             for row in rows
-            if row.key not in self.rows and self._outlasts(row, self.version)
+            if row.key not in self.rows
+            and self._is_kept_if_missing(row, self.version)
         ]
         if missing:
             self._update_rows(missing, [], self.version, self.current_as_of)
@@ -299,7 +300,7 @@
             for row in self.rows.values()
             if row.version > version
             or row.key in self._kept_keys
-            or self._outlasts(row, self.version)
+            or self._is_kept_if_missing(row, self.version)
         ]
 
     def changes_since(self, revision: int) -> tuple[list, list] | None:
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -39,7 +39,7 @@
             platform.CONFIG_TABLE,
             clock,
             ranks={platform.CONFIG_KEY: platform.configuration_version},
-            is_lost=platform.is_lost_evacuation,
+            keeps_missing=platform.is_lost_evacuation,
         )
         self.upstream_table = cluster.TableCache(
             platform.UPSTREAM_TABLE, clock, defers_removals=True
