Table cache: a removed evacuation does not come back

A node that was cut off while the row was removed kept it after a restore of the store and relayed it, and nodes that had seen the removal took it again. The cache now remembers the versions of the last 256 removals of such rows and refuses rows of that version or below.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1474,6 +1474,20 @@
         '',
         'tests/edge/test_evacuation.py',
     ),
+    Mutant(
+        'a row is not added again after its removal',
+        'plantainway/cluster/_follower.py',
+        'return row.version > self._removed_versions.get(row.key, -1)',
+        'return True',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'remembered removals are bounded',
+        'plantainway/cluster/_follower.py',
+        'if len(self._removed_versions) > REMOVALS_KEPT_MAX:',
+        'if False:',
+        'tests/edge/test_evacuation.py',
+    ),
     Mutant(
         'a lost row is relayed',
         'plantainway/cluster/_follower.py',
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -14,6 +14,7 @@
 REMOVAL_GRACE_S = 2.0  # writers restore entries that expired in an outage
 OUTAGE_MIN_S = 1.0  # shorter failures do not count as an outage
 CHANGES_KEPT_MAX = 512  # nodes further behind get a full snapshot
+REMOVALS_KEPT_MAX = 256  # removed rows that nodes may still have, the newest
 
 
 class TableCache:
@@ -29,7 +30,9 @@
             grows with each change. Such rows are never removed.
         keeps_missing: Function of the key and version of a known row and of
             the version of a snapshot that lacks it. Returns whether the row
-            is kept all the same, until a change removes it.
+            is kept all the same, until a change removes it. Other nodes may
+            relay such a row after its removal, so versions of removals are
+            remembered.
 
     Attributes:
         rows: Rows by key.
@@ -51,6 +54,7 @@
     ):
         self._ranks = ranks or {}
         self._keeps_missing = keeps_missing
+        self._removed_versions: dict[str, int] = {}
         self._kept_keys: set[str] = set()
         self.name = name
         self._clock = clock
@@ -130,6 +134,8 @@
         )
         removed_keys = [key for key in self.rows if key not in present]
         removed_keys = self._without_kept(removed_keys, reading.version)
+        for key in removed_keys:
+            self._record_removal(key, reading.version)
         changed = [row for row in reading.rows if self._replaces(row)]
         self._update_rows(changed, removed_keys, reading.version, as_of)
 
@@ -155,6 +161,7 @@
             removed_keys.pop(row.key, None)
             if row.value is None:
                 removed_keys[row.key] = row
+                self._record_removal(row.key, row.version)
             else:
                 changed[row.key] = row
         self._update_rows(
@@ -184,12 +191,24 @@
             for row in rows
             if row.key not in self.rows
             and self._is_kept_if_missing(row, self.version)
+            and self._replaces(row)
         ]
         if missing:
             self._update_rows(missing, [], self.version, self.current_as_of)
 
+    def _record_removal(self, key: str, version: int) -> None:
+        """Remembers the removal of a row that other nodes may keep."""
+        if self._keeps_missing is None:
+            return
+        if not self._keeps_missing(key, -1, version):
+            return
+        known = self._removed_versions.pop(key, -1)
+        self._removed_versions[key] = max(known, version)
+        if len(self._removed_versions) > REMOVALS_KEPT_MAX:
+            del self._removed_versions[next(iter(self._removed_versions))]
+
     def _replaces(self, row) -> bool:
-        """Returns whether a row is newer than the known one.
+        """Returns whether a row is newer than the known one or its removal.
 
         If it is newer but has a value of a lower rank, the known value gets
         its version and is relayed again: other nodes may have got the row
@@ -197,7 +216,7 @@
         """
         known = self.rows.get(row.key)
         if known is None:
-            return True
+            return row.version > self._removed_versions.get(row.key, -1)
         rank_of = self._ranks.get(row.key)
         if rank_of is None:
             return row.version > known.version
--- a/tests/edge/test_evacuation.py
+++ b/tests/edge/test_evacuation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from plantainway import clock as clocks
+from plantainway.cluster import _follower
 from plantainway.edge import _view
 from plantainway import stores
 
@@ -117,3 +118,55 @@
     _change(view, lacking + 1, key, None)
     assert view.config_table.rows == {}
     assert view.config_table.rows_after(lacking) == []
+
+
+@pytest.mark.parametrize(
+    'removal, late',
+    [
+        # Row removed by a change or by a snapshot, in the first era, and a
+        # relay of the row after a restore.
+        (('change', 9), (ERA + 5, ERA + 6)),
+        (('snapshot', 9), (ERA + 5, ERA + 6)),
+        # Row removed in the next era, and a late snapshot of the first.
+        (('change', ERA + 9), (ERA + 9, 3)),
+        (('snapshot', ERA + 9), (ERA + 9, 3)),
+    ],
+)
+def test_removed_row_stays_removed(removal, late):
+    """Guards against a node that missed the removal and relays the row."""
+    view = _view_with('a')
+    kind, version = removal
+    restored_at, late_at = late
+    _snapshot(view, 3, 'evacuate/a', row_version=2)
+    if version > ERA:
+        _snapshot(view, ERA + 3, 'evacuate/a', row_version=ERA + 2)
+    if kind == 'change':
+        _change(view, version, 'evacuate/a', None)
+    else:
+        _snapshot(view, version)
+    _snapshot(view, restored_at)
+    _snapshot(view, late_at, 'evacuate/a', row_version=2)
+    assert view.evacuated_zones == set()
+    assert view.config_table.rows_after(-1) == []
+    _change(view, 2 * ERA, 'evacuate/a', b'')
+    assert view.evacuated_zones == {'a'}
+
+
+def test_removal_of_a_row_that_a_node_lacks_is_remembered():
+    """Another node may still have the row and relay it later."""
+    view = _view_with('a')
+    _snapshot(view, 3)
+    _change(view, ERA + 4, 'evacuate/a', None)
+    _snapshot(view, ERA + 5, 'evacuate/a', row_version=2)
+    assert view.evacuated_zones == set()
+
+
+def test_remembered_removals_are_bounded():
+    """Guards against memory that grows with the number of removed rows."""
+    view = _view_with('a')
+    _snapshot(view, 1)
+    for number in range(3 * _follower.REMOVALS_KEPT_MAX):
+        _change(view, number + 2, f'evacuate/{number}', None)
+    remembered = view.config_table._removed_versions
+    assert len(remembered) == _follower.REMOVALS_KEPT_MAX
+    assert f'evacuate/{number}' in remembered
