Table cache: an evacuation that the store does not confirm ends after 30 s

A row that a restored store lacks was kept until the feed showed its removal. A store may report no change when a row that it lacks is removed, so an operator's plain removal was never seen. Such a row now ends 30 s after the node noticed the restore unless it is written again; the end is logged (lost_row_dropped), relayed, and the row is refused afterwards. A second restore gives no more time.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1488,6 +1488,27 @@
         'if False:',
         'tests/edge/test_evacuation.py',
     ),
+    Mutant(
+        'a row that a restored store does not confirm ends',
+        'plantainway/cluster/_follower.py',
+        '        self._update_confirmations(now)\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a row that has ended unconfirmed is not added again',
+        'plantainway/cluster/_follower.py',
+        '                self._record_removal(key, self.version)\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'repeated snapshots do not prolong an unconfirmed row',
+        'plantainway/cluster/_follower.py',
+        'key: self._confirm_by.get(key, now + CONFIRMATION_TIMEOUT_S)',
+        'key: now + CONFIRMATION_TIMEOUT_S',
+        'tests/edge/test_evacuation.py',
+    ),
     Mutant(
         'a lost row is relayed',
         'plantainway/cluster/_follower.py',
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -14,7 +14,11 @@
 REMOVAL_GRACE_S = 2.0  # writers restore entries that expired in an outage
 OUTAGE_MIN_S = 1.0  # shorter failures do not count as an outage
 CHANGES_KEPT_MAX = 512  # nodes further behind get a full snapshot
-REMOVALS_KEPT_MAX = 256  # removed rows that nodes may still have, the newest
+# A store may report no change when a row that it lacks is removed. A row that
+# a restored store lacks is therefore kept only for the time in which its
+# writer can notice the restore and write it again.
+CONFIRMATION_TIMEOUT_S = 30.0
+REMOVALS_KEPT_MAX = 256  # newest removals that other nodes may have missed
 
 
 class TableCache:
@@ -30,9 +34,9 @@
             grows with each change. Such rows are never removed.
         keeps_missing: Function of the key and version of a known row and of
             the version of a snapshot that lacks it. Returns whether the row
-            is kept all the same, until a change removes it. Other nodes may
-            relay such a row after its removal, so versions of removals are
-            remembered.
+            is kept all the same, until a change removes it or for
+            ``CONFIRMATION_TIMEOUT_S``. Other nodes may relay such a row after
+            its removal, so versions of removals are remembered.
 
     Attributes:
         rows: Rows by key.
@@ -55,6 +59,7 @@
         self._ranks = ranks or {}
         self._keeps_missing = keeps_missing
         self._removed_versions: dict[str, int] = {}
+        self._confirm_by: dict[str, float] = {}  # ends of rows kept, by key
         self._kept_keys: set[str] = set()
         self.name = name
         self._clock = clock
@@ -281,16 +286,37 @@
             removed.append(key)
         self.version = max(version, self.version)
         self.current_as_of = max(as_of, self.current_as_of)
+        self._update_confirmations(now)
         self._notify(changed, removed)
 
+    def _update_confirmations(self, now: float) -> None:
+        """Sets until when rows that the store has lost are kept."""
+        if self._keeps_missing is None:
+            return
+        self._confirm_by = {
+            key: self._confirm_by.get(key, now + CONFIRMATION_TIMEOUT_S)
+            for key, row in self.rows.items()
+            if self._is_kept_if_missing(row, self.version)
+        }
+
     def remove_due_rows(self) -> None:
-        """Removes the rows whose deferred removal has come due."""
+        """Removes the rows that were kept for a time that has passed.
+
+        These are rows whose removal was deferred, and rows that a restored
+        store lacks.
+        """
         now = self._clock.now()
         due_keys = [
             key for key, until in self._removal_due_at.items() if now >= until
         ]
+        for key, until in self._confirm_by.items():
+            if now >= until:
+                logs.event('lost_row_dropped', table=self.name, key=key)
+                self._record_removal(key, self.version)
+                due_keys.append(key)
         for key in due_keys:
-            del self._removal_due_at[key]
+            self._removal_due_at.pop(key, None)
+            self._confirm_by.pop(key, None)
             self.rows.pop(key, None)
         if due_keys:
             self._notify([], due_keys)
--- a/tests/edge/test_evacuation.py
+++ b/tests/edge/test_evacuation.py
@@ -26,8 +26,8 @@
     ).encode()
 
 
-def _view_with(*zones):
-    view = _view.PlatformView(clocks.ManualClock())
+def _view_with(*zones, clock=None):
+    view = _view.PlatformView(clock or clocks.ManualClock())
     rows = tuple(stores.RawRow(zone, _entry(zone), 1) for zone in zones)
     view.upstream_table.apply_snapshot(stores.RowBatch(rows, 1), 0.0)
     return view
@@ -170,3 +170,92 @@
     remembered = view.config_table._removed_versions
     assert len(remembered) == _follower.REMOVALS_KEPT_MAX
     assert f'evacuate/{number}' in remembered
+
+
+@pytest.mark.parametrize(
+    'happen, ends_after_s',
+    [
+        # The operator's plain removal shows in no feed: the copy lacks it.
+        ([], 30.0),
+        # Repeated snapshots, relays and a second restore give no more time.
+        ([(20, lambda view: _snapshot(view, ERA + 9))], 30.0),
+        (
+            [
+                (
+                    20,
+                    lambda view: _snapshot(
+                        view, ERA + 9, 'evacuate/a', row_version=2
+                    ),
+                )
+            ],
+            30.0,
+        ),
+        ([(20, lambda view: _snapshot(view, 2 * ERA + 1))], 30.0),
+        # The operator writes it again, or removes it.
+        ([(20, lambda view: _change(view, ERA + 9, 'evacuate/a', b''))], None),
+        (
+            [
+                (
+                    20,
+                    lambda view: _snapshot(
+                        view, ERA + 9, 'evacuate/a', row_version=ERA + 8
+                    ),
+                )
+            ],
+            None,
+        ),
+        ([(20, lambda view: _change(view, ERA + 9, 'evacuate/a', None))], 20),
+    ],
+)
+@pytest.mark.parametrize('noticed_by', ['snapshot', 'changes', 'relay'])
+def test_row_that_the_store_does_not_confirm_ends(
+    noticed_by, happen, ends_after_s
+):
+    """Guards against a zone that is evacuated until a node is restarted."""
+    clock = clocks.ManualClock(0.0)
+    view = _view_with('a', clock=clock)
+    if noticed_by != 'relay':
+        _snapshot(view, 2, 'evacuate/a')
+        clock.advance(100.0)
+        view.config_table.remove_due_rows()
+    if noticed_by == 'changes':
+        _change(view, ERA + 5, 'other', b'')
+    else:
+        _snapshot(view, ERA + 5)
+    if noticed_by == 'relay':
+        _snapshot(view, ERA + 5, 'evacuate/a')
+    ended_after_s = None
+    for second in range(60):
+        for at, step in happen:
+            if at == second:
+                step(view)
+        view.config_table.remove_due_rows()
+        if not view.evacuated_zones:
+            ended_after_s = second
+            break
+        clock.advance(1.0)
+    assert ended_after_s == ends_after_s
+    # A node that still has the row does not bring it back.
+    _snapshot(view, 3 * ERA)
+    _snapshot(view, 3 * ERA, 'evacuate/a')
+    assert (not view.evacuated_zones) is (ends_after_s is not None)
+    _change(view, 3 * ERA + 1, 'evacuate/a', b'')
+    assert view.evacuated_zones == {'a'}
+
+
+def test_end_of_an_unconfirmed_row_is_relayed_and_logged_once(monkeypatch):
+    """Nodes that noticed the restore later must not keep the row longer."""
+    names = []
+    monkeypatch.setattr(
+        'plantainway.logs.event', lambda name, *_level, **_: names.append(name)
+    )
+    clock = clocks.ManualClock(0.0)
+    view = _view_with('a', clock=clock)
+    _snapshot(view, 2, 'evacuate/a')
+    _snapshot(view, ERA + 5)
+    revision = view.config_table.revision
+    clock.advance(30.0)
+    for _ in range(3):
+        view.config_table.remove_due_rows()
+    assert view.config_table.changes_since(revision) == ([], ['evacuate/a'])
+    assert names.count('lost_row_dropped') == 1
