Upstreams: find open heads without a list of all engines

Each choice of a head built the list of the available upstreams of the service first. The heads are indexed by service and model now, and only they are checked for draining and evacuation.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1433,8 +1433,18 @@
     Mutant(
         'upstreams of evacuated zones are left out',
         'plantainway/deployment/_upstreams.py',
-        'if not item.draining and not self.is_evacuated(item)',
-        'if not item.draining',
+        'return not upstream.draining and not self.is_evacuated(upstream)',
+        'return not upstream.draining',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'only open heads are checked for evacuation',
+        'plantainway/deployment/_upstreams.py',
+        '            for item in self._find_heads(service, model)\n'
+        '            if self._is_available(item)\n',
+        '            for item in self.find_available(service)\n'
+        '            if item.is_open_head\n'
+        '            and item.membership.model == model\n',
         'tests/edge/test_evacuation.py',
     ),
     Mutant(
--- a/plantainway/deployment/_upstreams.py
+++ b/plantainway/deployment/_upstreams.py
@@ -83,6 +83,7 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.by_name: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] | None = None
+        self._heads: dict[tuple[str, str], list[Upstream]] = {}
         self.version = 0
 
     def replace(self, upstreams, version: int) -> None:
@@ -118,11 +119,23 @@
             service: Name of the service.
         """
         if self._by_service is None:
-            self._by_service = {}
-            for item in self.by_name.values():
-                self._by_service.setdefault(item.service, []).append(item)
+            self._update_index()
         return self._by_service.get(service, [])
 
+    def _find_heads(self, service: str, model: str) -> list[Upstream]:
+        if self._by_service is None:
+            self._update_index()
+        return self._heads.get((service, model), [])
+
+    def _update_index(self) -> None:
+        self._by_service = {}
+        self._heads = {}
+        for item in self.by_name.values():
+            self._by_service.setdefault(item.service, []).append(item)
+            if item.is_open_head:
+                key = (item.service, item.membership.model)
+                self._heads.setdefault(key, []).append(item)
+
     def set_evacuated(self, zones) -> None:
         """Sets the failure domains to which nothing is sent.
 
@@ -150,13 +163,18 @@
         return [
             item
             for item in self.find_by_service(service)
-            if not item.draining and not self.is_evacuated(item)
+            if self._is_available(item)
         ]
 
+    def _is_available(self, upstream: Upstream) -> bool:
+        return not upstream.draining and not self.is_evacuated(upstream)
+
     def find_open_heads(self, service: str, model: str) -> list[Upstream]:
         """Returns the heads that accept requests for a model.
 
         Draining heads and those in evacuated failure domains are left out.
+        Each request calls this, and most engines are no heads, so the heads
+        are indexed.
 
         Args:
             service: Name of the service.
@@ -164,8 +182,8 @@
         """
         return [
             item
-            for item in self.find_available(service)
-            if item.is_open_head and item.membership.model == model
+            for item in self._find_heads(service, model)
+            if self._is_available(item)
         ]
 
 
--- a/tests/edge/test_evacuation.py
+++ b/tests/edge/test_evacuation.py
@@ -1,5 +1,6 @@
 """Tests of the rows that ask to evacuate failure domains."""
 
+import dataclasses
 import json
 
 import pytest
@@ -259,3 +260,25 @@
         view.config_table.remove_due_rows()
     assert view.config_table.changes_since(revision) == ([], ['evacuate/a'])
     assert names.count('lost_row_dropped') == 1
+
+
+@pytest.mark.parametrize('zones', [(), ('a',)])
+def test_heads_are_found_without_a_list_of_all_engines(monkeypatch, zones):
+    """Each request looks for heads; most engines are none."""
+    view = _view_with(*(f'z{number}' for number in range(50)), 'a', 'b')
+    for name in (f'z{number}' for number in range(50)):
+        known = view.book.by_name[name]
+        view.book.by_name[name] = dataclasses.replace(
+            known, membership=dataclasses.replace(known.membership, rank=1)
+        )
+    view.book.set_evacuated(zones)
+    asked = []
+    is_evacuated = view.book.is_evacuated
+    monkeypatch.setattr(
+        view.book,
+        'is_evacuated',
+        lambda item: asked.append(item.name) or is_evacuated(item),
+    )
+    found = view.book.find_open_heads('s', 'm')
+    assert {item.name for item in found} == {'a', 'b'} - set(zones)
+    assert sorted(asked) == ['a', 'b']
