Configuration: an odd coldS or coldPerS no longer rejects all of it

Both are decoded like coldLeftMs: what is no number from 0 to 1e9 counts as 0. The services concerned are logged once when the configuration is put in force (cold_field_odd), not whenever the table changes.

Numbers in quotes are read as before.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1409,6 +1409,15 @@
         'self._returned.pop(node, None)',
         'tests/ratelimits/test_cold.py',
     ),
+    Mutant(
+        'odd fields on cold upstreams count as 0',
+        'plantainway/platform/_messages.py',
+        '        return _COLD_FIELD.validate_python(value) or 0.0\n'
+        '    except pydantic.ValidationError:\n',
+        '        return _COLD_FIELD.validate_python(value) or 0.0\n'
+        '    except ZeroDivisionError:\n',
+        'tests/platform/test_messages.py',
+    ),
     Mutant(
         'the cold time alone changes no upstream',
         'plantainway/deployment/_upstreams.py',
--- a/plantainway/deployment/_configuration.py
+++ b/plantainway/deployment/_configuration.py
@@ -245,7 +245,9 @@
 
     ``services`` is keyed by name, ``accounts`` by API key.
     ``requires_api_key`` is false if the operator configured no list of
-    accounts; requests are then served without a key.
+    accounts; requests are then served without a key. ``odd_cold_services``
+    names the services with an unreadable time or rate for cold upstreams,
+    which counts as 0.
     """
 
     version: int
@@ -254,6 +256,7 @@
     accounts: dict[str, Account]
     limits: Limits
     requires_api_key: bool
+    odd_cold_services: tuple[str, ...] = ()
 
     def find_account(self, key: str) -> Account | None:
         """Returns the client account of an API key, ``None`` if unknown.
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -196,6 +196,13 @@
             bytes=len(row.value),
             services=len(cfg.services),
         )
+        if cfg.odd_cold_services:
+            logs.event(
+                'cold_field_odd',
+                'WARNING',
+                version=cfg.version,
+                services=','.join(cfg.odd_cold_services),
+            )
 
     def _apply_upstreams(self, changed, removed) -> None:
         for key in removed:
--- a/plantainway/platform/_messages.py
+++ b/plantainway/platform/_messages.py
@@ -26,6 +26,14 @@
 SLOTS_MAX = 100000
 RANK_MAX = 100000
 PORT_MAX = 65535
+COLD_FIELD_MAX = 1e9  # of a time in seconds, and of requests a second
+
+_COLD_FIELD = pydantic.TypeAdapter(
+    typing.Annotated[
+        float | None,
+        pydantic.Field(ge=0, le=COLD_FIELD_MAX, allow_inf_nan=False),
+    ]
+)
 
 
 def _check_address(text: str) -> str:
@@ -48,9 +56,6 @@
 _TimeMs = typing.Annotated[StrictInteger, pydantic.Field(ge=0, le=TIME_MS_MAX)]
 
 
-_Rate = typing.Annotated[float | None, pydantic.Field(allow_inf_nan=False)]
-
-
 class _ServiceShare(_Body):
     service: StrictString
     weight: float = 1.0
@@ -161,8 +166,15 @@
     health_path: str = pydantic.Field('/', alias='healthPath')
     max_connections: int = pydantic.Field(1000, alias='maxConns')
     engine: _Engine | None = None
-    cold_s: _Rate = pydantic.Field(None, alias='coldS')
-    cold_per_s: _Rate = pydantic.Field(None, alias='coldPerS')
+    cold_s: typing.Any = pydantic.Field(None, alias='coldS')
+    cold_per_s: typing.Any = pydantic.Field(None, alias='coldPerS')
+
+    def has_odd_cold_field(self) -> bool:
+        """Returns whether a field on cold upstreams has an odd value."""
+        return any(
+            _decode_cold_field(value) is None
+            for value in (self.cold_s, self.cold_per_s)
+        )
 
 
 class _Account(_Body):
@@ -256,8 +268,8 @@
                 item.health_path,
                 item.max_connections,
                 item.engine.decoded() if item.engine else None,
-                item.cold_s or 0.0,
-                item.cold_per_s or 0.0,
+                _decode_cold_field(item.cold_s) or 0.0,
+                _decode_cold_field(item.cold_per_s) or 0.0,
             )
             for item in parsed.services
         },
@@ -273,9 +285,20 @@
             parsed.limits.idle_ms,
         ),
         requires_api_key=parsed.tenants is not None,
+        odd_cold_services=tuple(
+            item.name for item in parsed.services if item.has_odd_cold_field()
+        ),
     )
 
 
+def _decode_cold_field(value) -> float | None:
+    """Returns a time or rate for cold upstreams, ``None`` if unreadable."""
+    try:
+        return _COLD_FIELD.validate_python(value) or 0.0
+    except pydantic.ValidationError:
+        return None
+
+
 def configuration_version(body: bytes) -> int:
     """Returns the version of an operator's configuration.
 
--- a/tests/edge/test_view.py
+++ b/tests/edge/test_view.py
@@ -95,3 +95,27 @@
         'e9', deployment.Membership('g2', 2, 0, State.OPEN, 'm')
     )
     assert view.book.by_name == {}
+
+
+def test_odd_cold_fields_are_logged_once_for_each_configuration(monkeypatch):
+    """Guards against a line for each change of the table."""
+    events = []
+    monkeypatch.setattr(
+        'plantainway.logs.event',
+        lambda name, *_level, **fields: events.append((name, fields)),
+    )
+    view = _view.PlatformView(clocks.ManualClock())
+    for row_version, version in enumerate([1, 1, 1, 2], 1):
+        services = [
+            {'name': name, 'coldS': 'x', 'coldPerS': []}
+            for name in ('s1', 's2')
+        ]
+        body = {'version': version, 'routes': [], 'services': services}
+        row = stores.RawRow('config', json.dumps(body).encode(), row_version)
+        other = stores.RawRow('evacuate/a', b'', row_version)
+        view.config_table.apply_snapshot(
+            stores.RowBatch((row, other), row_version), 0.0
+        )
+    logged = [fields for name, fields in events if name == 'cold_field_odd']
+    assert [item['version'] for item in logged] == [1, 2]
+    assert logged[0]['services'] == 's1,s2'
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -148,6 +148,40 @@
     )
 
 
+@pytest.mark.parametrize('field', ['coldS', 'coldPerS'])
+@pytest.mark.parametrize(
+    'text, expected, is_odd',
+    [
+        ('17', 17.0, False),
+        ('1.5', 1.5, False),
+        ('0', 0.0, False),
+        ('null', 0.0, False),
+        ('"x"', 0.0, True),
+        ('[]', 0.0, True),
+        ('{}', 0.0, True),
+        ('"17"', 17.0, False),
+        ('-1', 0.0, True),
+        ('Infinity', 0.0, True),
+        ('NaN', 0.0, True),
+        ('1e300', 0.0, True),
+        ('1' + '0' * 400, 0.0, True),
+    ],
+)
+def test_odd_cold_field_does_not_reject_the_configuration(
+    field, text, expected, is_odd
+):
+    """Guards against nodes that keep to an old configuration."""
+    services = [{'name': name, field: '?'} for name in ('s1', 's2')]
+    body = json.dumps(CONFIG | {'services': services})
+    cfg = platform.decode_configuration(
+        body.replace('"?"', text, 1).replace('"?"', '3').encode()
+    )
+    found = cfg.services['s1']
+    value = found.cold_s if field == 'coldS' else found.cold_per_s
+    assert value == expected
+    assert cfg.odd_cold_services == (('s1',) if is_odd else ())
+
+
 @pytest.mark.parametrize(
     'body', [b'', b'{}', b'{"version": "x", "routes": []}', b'[1]', b'\xff']
 )
