--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1475,8 +1475,8 @@
     Mutant(
         'a row lost in a restore stays in force',
         'plantainway/cluster/_follower.py',
-        '            if self._is_kept_if_missing(self.rows[key], version):',
-        '            if False:',
+        'if not self._is_kept_if_missing(self.rows[key], version)\n',
+        'if True\n',
         'tests/edge/test_evacuation.py',
     ),
     Mutant(
@@ -1524,10 +1524,17 @@
     Mutant(
         'repeated snapshots do not prolong an unconfirmed row',
         'plantainway/cluster/_follower.py',
-        'key: self._confirm_by.get(key, now + CONFIRMATION_TIMEOUT_S)',
+        'key: known.get(key, now + CONFIRMATION_TIMEOUT_S)',
         'key: now + CONFIRMATION_TIMEOUT_S',
         'tests/edge/test_evacuation.py',
     ),
+    Mutant(
+        'a lost row is logged once',
+        'plantainway/cluster/_follower.py',
+        'for key in self._confirm_by.keys() - known.keys():',
+        'for key in self._confirm_by:',
+        'tests/edge/test_evacuation.py',
+    ),
     Mutant(
         'a lost row is relayed',
         'plantainway/cluster/_follower.py',
@@ -1612,7 +1619,7 @@
         'a model that has gained groups gives none away',
         'plantainway/supply/_balance.py',
         '            if self._held_until.get(pair.donor.name, now) <= now\n',
-        '            if True\n',
+        'if True\n',
         'tests/supply/test_balance.py',
     ),
     Mutant(
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -175,13 +175,11 @@
 
     def _without_kept(self, keys, version: int) -> list:
         """Returns those of some keys that a snapshot shows to be removed."""
-        removed_keys = []
-        for key in keys:
-            if self._is_kept_if_missing(self.rows[key], version):
-                logs.event('lost_row_kept', table=self.name, key=key)
-            else:
-                removed_keys.append(key)
-        return removed_keys
+        return [
+            key
+            for key in keys
+            if not self._is_kept_if_missing(self.rows[key], version)
+        ]
 
     def _is_kept_if_missing(self, row, version: int) -> bool:
         """Returns whether a row is kept although a snapshot lacks it."""
@@ -293,11 +291,14 @@
         """Sets until when rows that the store has lost are kept."""
         if self._keeps_missing is None:
             return
+        known = self._confirm_by
         self._confirm_by = {
-            key: self._confirm_by.get(key, now + CONFIRMATION_TIMEOUT_S)
+            key: known.get(key, now + CONFIRMATION_TIMEOUT_S)
             for key, row in self.rows.items()
             if self._is_kept_if_missing(row, self.version)
         }
+        for key in self._confirm_by.keys() - known.keys():
+            logs.event('lost_row_kept', table=self.name, key=key)
 
     def remove_due_rows(self) -> None:
         """Removes the rows that were kept for a time that has passed.
--- a/tests/edge/test_evacuation.py
+++ b/tests/edge/test_evacuation.py
@@ -282,3 +282,21 @@
     found = view.book.find_open_heads('s', 'm')
     assert {item.name for item in found} == {'a', 'b'} - set(zones)
     assert sorted(asked) == ['a', 'b']
+
+
+def test_lost_row_is_logged_once_in_an_era(monkeypatch):
+    """Guards against a line for each snapshot of a restored store."""
+    names = []
+    monkeypatch.setattr(
+        'plantainway.logs.event', lambda name, *_level, **_: names.append(name)
+    )
+    view = _view_with('a')
+    _snapshot(view, 2, 'evacuate/a')
+    for version in range(ERA + 5, ERA + 9):
+        _snapshot(view, version)
+        _snapshot(view, version, 'evacuate/a')
+    assert names.count('lost_row_kept') == 1
+    _snapshot(view, ERA + 9, 'evacuate/a', row_version=ERA + 9)
+    for version in range(2 * ERA, 2 * ERA + 3):
+        _snapshot(view, version)
+    assert names.count('lost_row_kept') == 2
