--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1418,6 +1418,13 @@
         '    except ZeroDivisionError:\n',
         'tests/platform/test_messages.py',
     ),
+    Mutant(
+        'an unreadable cold time is logged once',
+        'plantainway/platform/_upstreams.py',
+        '        if name in self._unreadable_cold:\n            return\n',
+        '',
+        'tests/platform/test_cold_engines.py',
+    ),
     Mutant(
         'the cold time alone changes no upstream',
         'plantainway/deployment/_upstreams.py',
--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -20,6 +20,7 @@
 from plantainway import supply
 from plantainway import traffic
 
+UNREADABLE_NAMES_MAX = 4096  # runners remembered as logged
 CONNECT_TIMEOUT_S = 0.4  # connecting within the region takes about 5 ms
 KEEPALIVE_TIMEOUT_S = 8.0  # upstreams close idle connections after a time
 TCP_USER_TIMEOUT_MS = 4000  # unacknowledged data for longer: peer is lost
@@ -206,6 +207,7 @@
         self.on_cold = []
         self.on_leaving = []
         self.on_unreached = []
+        self._unreadable_cold: set[str] = set()
 
     def _handle_unreached(self, upstream, exc) -> None:
         if isinstance(
@@ -227,11 +229,23 @@
         per_second = _parse_rate_limit(resp.headers, upstream.name)
         for listener in self.on_answer:
             listener(upstream, per_second)
-        cold_s = _parse_cold_s(resp.headers, upstream.name)
-        if cold_s:
+        text = resp.headers.get(_names.COLD_MS)
+        cold_s = _parse_cold_s(text)
+        if cold_s is None:
+            self._record_unreadable_cold(upstream.name, text)
+        elif cold_s:
             for listener in self.on_cold:
                 listener(upstream, cold_s)
 
+    def _record_unreadable_cold(self, name: str, text: str) -> None:
+        """Logs an unreadable cold time, once for each runner."""
+        if name in self._unreadable_cold:
+            return
+        if len(self._unreadable_cold) >= UNREADABLE_NAMES_MAX:
+            self._unreadable_cold.clear()
+        self._unreadable_cold.add(name)
+        logs.event('cold_unreadable', upstream=name, value=text[:40])
+
     async def send(self, attempt: traffic.Attempt) -> RunnerResponse:
         """Sends one attempt of a request; see the base class."""
         req, upstream = attempt.request, attempt.upstream
@@ -431,15 +445,15 @@
     return float(text)
 
 
-def _parse_cold_s(headers, peer: str) -> float:
-    """Returns for how long a runner stays cold, 0 if it does not say."""
-    text = headers.get(_names.COLD_MS)
+def _parse_cold_s(text: str | None) -> float | None:
+    """Returns for how long a runner stays cold, ``None`` if unreadable.
+
+    Args:
+        text: What its answer says, ``None`` if it says nothing.
+    """
     if text is None:
         return 0.0
-    if not _DECIMAL.fullmatch(text):
-        logs.event('cold_unreadable', upstream=peer, value=text[:40])
-        return 0.0
-    return float(text) / 1000
+    return float(text) / 1000 if _DECIMAL.fullmatch(text) else None
 
 
 _ORDER_STATUSES = {
--- a/tests/platform/test_cold_engines.py
+++ b/tests/platform/test_cold_engines.py
@@ -2,9 +2,14 @@
 
 import asyncio
 import contextlib
+import types
 
 import pytest
 
+from plantainway import clock as clocks
+from plantainway import deployment
+from plantainway.platform import _names
+from plantainway.platform import _upstreams
 from tests.platform import conftest
 from tests.platform import test_rate_limits
 
@@ -89,3 +94,29 @@
     got = await conftest.send_request(client, nodes[0], '/safe/x')
     assert got.status == 200
     assert nodes[0].dump()['cold_upstreams'] == []
+
+
+def test_unreadable_cold_time_is_logged_once_for_each_upstream(monkeypatch):
+    """Guards against a line for each answer."""
+    logged = []
+    monkeypatch.setattr(
+        'plantainway.logs.event',
+        lambda name, *_level, **fields: logged.append(
+            (name, fields.get('upstream'))
+        ),
+    )
+    client = _upstreams.RunnerClient(None, None, clocks.ManualClock())
+    seen = []
+    client.on_cold.append(lambda upstream, left_s: seen.append(left_s))
+    for text in ('x', 'x', '-5', '2000', 'y'):
+        for name in ('u1', 'u2'):
+            upstream = deployment.Upstream(name, 's', '', 'a', 2, False)
+            resp = types.SimpleNamespace(
+                status=200, headers={_names.COLD_MS: text}
+            )
+            client._handle_answer(upstream, resp)
+    assert logged == [('cold_unreadable', 'u1'), ('cold_unreadable', 'u2')]
+    assert seen == [2.0, 2.0]
+    for number in range(2 * _upstreams.UNREADABLE_NAMES_MAX):
+        client._record_unreadable_cold(str(number), 'x')
+    assert len(client._unreadable_cold) <= _upstreams.UNREADABLE_NAMES_MAX
