Rate limits: a request looks at its candidates only

Without a leader each candidate computed the shares of all cold upstreams, and the part of each was found by sorting all nodes. A request now looks up the names that it asks for, and equal parts are kept by number of units. The leader computes what it holds back of a cold rate once for a rate and tick of 0.2 s; a node that is lost or back changes it at once.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1128,15 +1128,15 @@
     Mutant(
         'shares end in time',
         'plantainway/ratelimits/_shares.py',
-        'if self._is_in_touch or self._clock.now() >= self._valid_until:',
-        'if self._is_in_touch:',
+        'not self._is_in_touch and self._clock.now() < self._valid_until',
+        'not self._is_in_touch',
         'tests/ratelimits',
     ),
     Mutant(
         'requests sent before count against a share',
         'plantainway/ratelimits/_shares.py',
-        'if self._sent_count(upstream) >= share:',
-        'if not share:',
+        'if self._sent_count(upstream) >= self._share(upstream):',
+        'if not self._share(upstream):',
         'tests/ratelimits',
     ),
     Mutant(
@@ -1391,15 +1391,15 @@
     Mutant(
         'shares of a cold upstream hold in any second',
         'plantainway/ratelimits/_shares.py',
-        'units(per_second, _cold.COLD_WINDOW_S), self._node',
-        'units(per_second), self._node',
+        'self._equal_part(units(cold_per_s, _cold.COLD_WINDOW_S))',
+        'self._equal_part(units(cold_per_s))',
         'tests/ratelimits/test_cold.py',
     ),
     Mutant(
         'shares of a cold upstream begin when the leader holds them back',
         'plantainway/ratelimits/_shares.py',
-        'if is_begun else 0',
-        'if True else 0',
+        'if self._clock.now() < self._cold_from:',
+        'if False:',
         'tests/ratelimits/test_cold.py',
     ),
     Mutant(
@@ -1425,6 +1425,28 @@
         '',
         'tests/platform/test_cold_engines.py',
     ),
+    Mutant(
+        'what is held back of cold rates is kept for a tick',
+        'plantainway/ratelimits/_issuer.py',
+        '        if per_second not in self._cold_held_back:\n',
+        '        if True:\n',
+        'tests/ratelimits/test_cold.py',
+    ),
+    Mutant(
+        'a lost node changes what is held back at once',
+        'plantainway/ratelimits/_issuer.py',
+        'heard_at + RESERVATION_TTL_S, shares)\n'
+        '        self._cold_held_back.clear()\n',
+        'heard_at + RESERVATION_TTL_S, shares)\n',
+        'tests/ratelimits/test_cold.py',
+    ),
+    Mutant(
+        'a request looks at the shares of its candidates only',
+        'plantainway/ratelimits/_shares.py',
+        'if self._sent_count(upstream) >= self._share(upstream):',
+        'if self._sent_count(upstream) >= self.shares().get(upstream, 0):',
+        'tests/ratelimits/test_cold.py',
+    ),
     Mutant(
         'the cold time alone changes no upstream',
         'plantainway/deployment/_upstreams.py',
--- a/plantainway/ratelimits/_book.py
+++ b/plantainway/ratelimits/_book.py
@@ -155,7 +155,7 @@
         Args:
             name: Name of the upstream.
         """
-        found = _lower(self._named(name), self.cold.find_by_name(name))
+        found = _lower(self.find_named(name), self.cold.find_by_name(name))
         return self.cold.rate_of(name) if found is None else found
 
     def is_cold(self, name: str) -> bool:
@@ -164,11 +164,16 @@
         Args:
             name: Name of the upstream.
         """
-        if self._named(name) is None:
+        if self.find_named(name) is None:
             return self.cold.rate_of(name) is not None
         return self.cold.find_by_name(name) is not None
 
-    def _named(self, name: str) -> float | None:
+    def find_named(self, name: str) -> float | None:
+        """Returns the newest limit that any incarnation has named.
+
+        Args:
+            name: Name of the upstream.
+        """
         entry = self._entries.get(name)
         return entry.per_second if entry else None
 
@@ -223,10 +228,21 @@
     def cold_in_force(self) -> dict[str, float]:
         """Returns the limits of the cold upstreams by name."""
         return {
-            name: _lower(self._named(name), per_second)
+            name: _lower(self.find_named(name), per_second)
             for name, per_second in self.cold.in_force().items()
         }
 
+    def find_cold_by_name(self, name: str) -> float | None:
+        """Returns the limit of an upstream while it is cold.
+
+        Args:
+            name: Name of the upstream.
+        """
+        per_second = self.cold.find_by_name(name)
+        if per_second is None:
+            return None
+        return _lower(self.find_named(name), per_second)
+
     def unconfirmed(self, age_s: float) -> list[str]:
         """Returns the upstreams whose limit no answer has confirmed lately.
 
--- a/plantainway/ratelimits/_issuer.py
+++ b/plantainway/ratelimits/_issuer.py
@@ -91,6 +91,7 @@
         self._unaccounted: set[str] = set()
         self._unaccounted_until = float('-inf')
         self._returned: dict[str, float] = {}  # until when, by node
+        self._cold_held_back: dict[float, int] = {}  # by rate
         self._handed_over: collections.Counter = collections.Counter()
         self._limited_at_start: frozenset = frozenset()
         self._update_at = float('-inf')
@@ -106,6 +107,7 @@
         self._heard_at.clear()
         self._silent.clear()
         self._returned.clear()
+        self._cold_held_back.clear()
         self._unaccounted = set(nodes)
         self._unaccounted_until = self._clock.now() + RESERVATION_TTL_S
         self._handed_over = collections.Counter(own_shares)
@@ -118,6 +120,8 @@
             node: Name of the node.
             shares: Shares that it held until now, by upstream.
         """
+        if node not in self._heard_at or node in self._unaccounted:
+            self._cold_held_back.clear()
         now = self._heard_at[node] = self._clock.now()
         if self._silent.pop(node, None) or node in self._unaccounted:
             # It may just have used its part of what a cold upstream takes.
@@ -147,6 +151,7 @@
             if schedule.created_at < heard_at
         }
         self._silent[node] = (heard_at + RESERVATION_TTL_S, shares)
+        self._cold_held_back.clear()
 
     def absent_nodes(self) -> list[str]:
         """Returns the nodes that may be using shares of their own."""
@@ -158,6 +163,7 @@
         if now < self._update_at:
             return
         self._update_at = now + UPDATE_INTERVAL_S
+        self._cold_held_back.clear()
         for node, heard_at in list(self._heard_at.items()):
             if now - heard_at > NODE_TIMEOUT_S:
                 self.record_lost(node)
@@ -214,6 +220,13 @@
         absent |= self._unaccounted
         if not absent:
             return 0
+        if per_second not in self._cold_held_back:
+            self._cold_held_back[per_second] = self._sum_parts(
+                absent, per_second
+            )
+        return self._cold_held_back[per_second]
+
+    def _sum_parts(self, absent, per_second: float) -> int:
         units = _shares.units(per_second, _cold.COLD_WINDOW_S)
         quotas = _window.equal_quotas(units, self._nodes())
         return sum(quotas[node] for node in absent)
--- a/plantainway/ratelimits/_shares.py
+++ b/plantainway/ratelimits/_shares.py
@@ -58,7 +58,7 @@
         self._clock = clock
         self._sent: dict[str, _window.SlidingWindow] = {}
         self._shares: dict[str, int] = {}
-        self._cold_shares: dict[tuple[str, float], int] = {}
+        self._equal_parts: dict[int, int] = {}
         self._nodes: frozenset = frozenset()
         self._valid_until = float('-inf')
         self._cold_from = float('inf')
@@ -101,7 +101,7 @@
         self._is_in_touch = False
         self._nodes = frozenset(nodes) | {self._node}
         self._cold_from = heard_at + COLD_SHARE_DELAY_S
-        self._cold_shares.clear()
+        self._equal_parts.clear()
         self._valid_until = heard_at + SHARE_TTL_S
         self._shares = {
             name: min(self._sent_count(name), self._max_share(per_second))
@@ -129,8 +129,7 @@
         Returns:
             Whether the request may be sent.
         """
-        share = self.shares().get(upstream, 0)
-        if self._sent_count(upstream) >= share:
+        if self._sent_count(upstream) >= self._share(upstream):
             return False
         self.record_sent(upstream)
         return True
@@ -141,36 +140,47 @@
         Args:
             upstreams: Names of the upstreams.
         """
-        shares = self.shares()
         return min(
             (
                 self._sent[name].remaining_s(self._window_s(name))
                 for name in upstreams
-                if shares.get(name) and name in self._sent
+                if name in self._sent and self._share(name)
             ),
             default=SHARE_WINDOW_S,
         )
 
     def shares(self) -> dict[str, int]:
         """Returns the shares in force by upstream, empty while in touch."""
-        if self._is_in_touch or self._clock.now() >= self._valid_until:
+        if not self._is_valid():
             return {}
-        for name, per_second in self._limits.in_force().items():
-            if name not in self._shares:
-                self._shares[name] = _window.equal_quota(
-                    units(per_second), self._node, self._nodes
-                )
-        is_begun = self._clock.now() >= self._cold_from
-        shares = self._shares | {
-            name: self._cold_share(name, per_second) if is_begun else 0
-            for name, per_second in self._limits.cold_in_force().items()
-        }
+        names = self._shares.keys() | self._limits.in_force().keys()
+        names |= self._limits.cold_in_force().keys()
+        shares = {name: self._share(name) for name in names}
         return {name: share for name, share in shares.items() if share}
 
-    def _cold_share(self, name: str, per_second: float) -> int:
-        key = (name, per_second)
-        if key not in self._cold_shares:
-            self._cold_shares[key] = _window.equal_quota(
-                units(per_second, _cold.COLD_WINDOW_S), self._node, self._nodes
+    def _is_valid(self) -> bool:
+        return not self._is_in_touch and self._clock.now() < self._valid_until
+
+    def _share(self, name: str) -> int:
+        """Returns the share of one upstream, 0 while in touch."""
+        if not self._is_valid():
+            return 0
+        cold_per_s = self._limits.find_cold_by_name(name)
+        if cold_per_s is not None:
+            if self._clock.now() < self._cold_from:
+                return 0
+            return self._equal_part(units(cold_per_s, _cold.COLD_WINDOW_S))
+        if name not in self._shares:
+            per_second = self._limits.find_named(name)
+            if per_second is None:
+                return 0
+            self._shares[name] = self._equal_part(units(per_second))
+        return self._shares[name]
+
+    def _equal_part(self, count: int) -> int:
+        """Returns this node's part of some units."""
+        if count not in self._equal_parts:
+            self._equal_parts[count] = _window.equal_quota(
+                count, self._node, self._nodes
             )
-        return self._cold_shares[key]
+        return self._equal_parts[count]
--- a/tests/ratelimits/test_cold.py
+++ b/tests/ratelimits/test_cold.py
@@ -1,5 +1,7 @@
 """Rates of cold upstreams over all nodes, and how long they stay cold."""
 
+import collections
+import dataclasses
 import types
 
 import hypothesis
@@ -10,6 +12,7 @@
 from plantainway import deployment
 from plantainway import ratelimits
 from plantainway.ratelimits import _cold
+from plantainway.ratelimits import _window
 from tests.ratelimits import test_issuer
 
 MAX_WAIT_S = 0.2  # of a request for a permit
@@ -222,3 +225,82 @@
     limits.cold.observe_answer(_upstream(), 5.0)
     assert limits.find(_upstream()) is limits.find_by_name('u') is None
     assert limits.revision == 0 and not limits.cold_in_force()
+
+
+def _many_cold(clock, count):
+    """Returns the limits with some cold upstreams, and their names."""
+    limits = ratelimits.LimitBook(clock)
+    names = [f'u{number}' for number in range(count)]
+    _configure(limits.cold, 17.0)
+    limits.cold.upstreams.by_name = {
+        name: dataclasses.replace(_upstream(left_ms=100_000), name=name)
+        for name in names
+    }
+    for upstream in limits.cold.upstreams.by_name.values():
+        limits.cold.observe_entry(upstream, 1)
+    return limits, names
+
+
+@pytest.mark.parametrize('candidates', [1, 20])
+def test_cost_of_a_share_does_not_grow_with_the_cold_upstreams(
+    monkeypatch, candidates
+):
+    """A request must not look at all cold upstreams for each candidate."""
+    clock = clocks.ManualClock()
+    calls = collections.Counter()
+    for module, name in (
+        (_cold.ColdStates, '_find_state'),
+        (_window, 'equal_quotas'),
+    ):
+        monkeypatch.setattr(
+            module, name, _counted(getattr(module, name), calls, name)
+        )
+    limits, names = _many_cold(clock, 200)
+    shares = ratelimits.KeptShares('n300', limits, clock)
+    nodes = [f'n{number:03}' for number in range(360)]
+    shares.update(False, nodes, clock.now())
+    clock.advance(5.0)
+    calls.clear()
+    for name in names[:candidates]:
+        assert not shares.try_send(name)
+    shares.retry_after_s(names[:candidates])
+    assert calls['_find_state'] <= 6 * candidates
+    assert calls['equal_quotas'] <= 1
+
+
+def test_what_is_held_back_is_computed_once_for_a_rate(monkeypatch):
+    """Sorting all nodes for each candidate delays the leader's requests."""
+    clock = clocks.ManualClock()
+    calls = collections.Counter()
+    limits, names = _many_cold(clock, 60)
+    issuer = ratelimits.PermitIssuer('n0', limits, clock)
+    issuer.begin_term([f'n{number:03}' for number in range(1, 360)], {})
+    monkeypatch.setattr(
+        _window, 'equal_quotas', _counted(_window.equal_quotas, calls, 'q')
+    )
+    for _ in range(3):
+        clock.advance(0.25)
+        calls.clear()
+        issuer.issue('n5', names, 0.0)
+        assert calls['q'] == 1
+    rates = [issuer._rate('u0', 17.0)]
+    # A node that is lost or back counts at once.
+    for number in range(1, 360):
+        issuer.record_heard(f'n{number:03}', {})
+    clock.advance(1.1)
+    for number in range(1, 360):
+        issuer.record_heard(f'n{number:03}', {})
+    issuer._update_absent()
+    rates.append(issuer._rate('u0', 17.0))
+    for name in ('n001', 'n002'):
+        issuer.record_lost(name)
+        rates.append(issuer._rate('u0', 17.0))
+    assert rates == [1.0, 17.0, 16.0, 15.0]
+
+
+def _counted(function, calls, name):
+    def call(*args):
+        calls[name] += 1
+        return function(*args)
+
+    return call
