Rate limits: use equal parts of cold rates beside an old leader

A leader of an earlier build permits any number of requests to cold upstreams. All other limits stay with the leader.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1135,8 +1135,8 @@
     Mutant(
         'requests sent before count against a share',
         'plantainway/ratelimits/_shares.py',
-        'if self._sent_count(upstream) >= self._share(upstream):',
-        'if not self._share(upstream):',
+        'return self._sent_count(upstream) < self._share(upstream)',
+        'return bool(self._share(upstream))',
         'tests/ratelimits',
     ),
     Mutant(
@@ -1443,10 +1443,17 @@
     Mutant(
         'a request looks at the shares of its candidates only',
         'plantainway/ratelimits/_shares.py',
-        'if self._sent_count(upstream) >= self._share(upstream):',
-        'if self._sent_count(upstream) >= self.shares().get(upstream, 0):',
+        'return self._sent_count(upstream) < self._share(upstream)',
+        'return self._sent_count(upstream) < self.shares().get(upstream, 0)',
         'tests/ratelimits/test_cold.py',
     ),
+    Mutant(
+        'equal parts of cold rates beside a leader of an earlier build',
+        'plantainway/edge/_permits.py',
+        '        if update.cold is None:\n',
+        '        if False:\n',
+        'tests/edge/test_permits.py',
+    ),
     Mutant(
         'the cold time alone changes no upstream',
         'plantainway/deployment/_upstreams.py',
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -177,7 +177,8 @@
     of them without being in touch. ``unreached`` names engines that the
     leader does not reach, by number of the question. ``cold`` are the
     upstreams whose answers to any node showed that they are cold, sent along
-    with ``limits``.
+    with ``limits``; ``None`` comes from a leader of an earlier build, which
+    does not limit cold upstreams.
     """
 
     leader: str
@@ -193,9 +194,7 @@
     limits: list[ratelimits.LimitObservation] | None = None
     absent: list[str] = dataclasses.field(default_factory=list)
     unreached: dict[int, str] = dataclasses.field(default_factory=dict)
-    cold: list[ratelimits.ColdObservation] = dataclasses.field(
-        default_factory=list
-    )
+    cold: list[ratelimits.ColdObservation] | None = None
 
 
 _TAGS = {
--- a/plantainway/edge/_permits.py
+++ b/plantainway/edge/_permits.py
@@ -59,13 +59,23 @@
         elif self._link.is_receiving:
             permit = await self._request_from_leader(names, max_wait_s)
         else:
-            return self._request_from_shares(names)
+            permit = self._request_from_shares(names)
         if permit.upstream in names:
             self._shares.record_sent(permit.upstream)
             return permit
         return ratelimits.Permit('', permit.wait_s)
 
     async def _request_from_leader(self, names, max_wait_s: float):
+        if self._shares.has_cold_parts:
+            cold = [
+                name
+                for name in names
+                if self._limits.find_cold_by_name(name) is not None
+            ]
+            permit = self._request_from_shares(cold)
+            if permit.upstream or len(cold) == len(names):
+                return permit
+            names = [name for name in names if name not in cold]
         try:
             return await self._link.request_permit(names, max_wait_s)
         except errors.LeaderUnavailableError:
@@ -73,7 +83,7 @@
 
     def _request_from_shares(self, names) -> ratelimits.Permit:
         for name in names:
-            if self._shares.try_send(name):
+            if self._shares.may_send(name):
                 return ratelimits.Permit(name, 0.0)
         return ratelimits.Permit('', self._shares.retry_after_s(names))
 
@@ -153,7 +163,12 @@
         """
         if update.limits is not None:
             self._limits.merge(update.limits, self._link.update_delay_s)
-        self._limits.cold.merge(update.cold)
+        if update.cold is None:
+            nodes = [info.node for info in self._link.nodes]
+            self._shares.begin_cold_parts(nodes)
+        else:
+            self._shares.end_cold_parts()
+            self._limits.cold.merge(update.cold)
 
     def update_touch(self, is_leader: bool) -> None:
         """Fixes the shares of this node when it hears of no leader.
--- a/plantainway/ratelimits/_shares.py
+++ b/plantainway/ratelimits/_shares.py
@@ -50,6 +50,10 @@
         node: Name of this node.
         limits: The limits that upstreams have named.
         clock: Source of monotonic time.
+
+    Attributes:
+        has_cold_parts: Whether this node uses its equal parts of the rates of
+            cold upstreams, although it hears of a leader.
     """
 
     def __init__(self, node: str, limits, clock):
@@ -63,6 +67,7 @@
         self._valid_until = float('-inf')
         self._cold_from = float('inf')
         self._is_in_touch = True
+        self.has_cold_parts = False
 
     def record_sent(self, upstream: str) -> None:
         """Counts a request to a limited upstream.
@@ -108,6 +113,27 @@
             for name, per_second in self._limits.in_force().items()
         }
 
+    def begin_cold_parts(self, nodes) -> None:
+        """Uses equal parts of cold upstreams while in touch with the leader.
+
+        A leader of an earlier build permits any number of requests to them.
+
+        Args:
+            nodes: Names of the nodes as last known.
+        """
+        known = frozenset(nodes) | {self._node}
+        if not self.has_cold_parts:
+            self._cold_from = self._clock.now() + COLD_SHARE_DELAY_S
+        elif known == self._nodes:
+            return
+        self.has_cold_parts = True
+        self._nodes = known
+        self._equal_parts.clear()
+
+    def end_cold_parts(self) -> None:
+        """Leaves the permits for cold upstreams to the leader again."""
+        self.has_cold_parts = False
+
     def _max_share(self, per_second: float) -> int:
         return max_share(per_second, len(self._nodes))
 
@@ -129,11 +155,19 @@
         Returns:
             Whether the request may be sent.
         """
-        if self._sent_count(upstream) >= self._share(upstream):
+        if not self.may_send(upstream):
             return False
         self.record_sent(upstream)
         return True
 
+    def may_send(self, upstream: str) -> bool:
+        """Returns whether the share of an upstream allows a request.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        return self._sent_count(upstream) < self._share(upstream)
+
     def retry_after_s(self, upstreams) -> float:
         """Returns the seconds until one of the shares allows a request.
 
@@ -162,14 +196,17 @@
         return not self._is_in_touch and self._clock.now() < self._valid_until
 
     def _share(self, name: str) -> int:
-        """Returns the share of one upstream, 0 while in touch."""
-        if not self._is_valid():
+        """Returns the share of one upstream, 0 if the leader decides."""
+        uses_cold_part = self._is_in_touch and self.has_cold_parts
+        if not self._is_valid() and not uses_cold_part:
             return 0
         cold_per_s = self._limits.find_cold_by_name(name)
         if cold_per_s is not None:
             if self._clock.now() < self._cold_from:
                 return 0
             return self._equal_part(units(cold_per_s, _cold.COLD_WINDOW_S))
+        if uses_cold_part:
+            return 0
         if name not in self._shares:
             per_second = self._limits.find_named(name)
             if per_second is None:
--- a/tests/edge/test_permits.py
+++ b/tests/edge/test_permits.py
@@ -1,15 +1,19 @@
 """Where a node gets its permits, and what a new leader holds back."""
 
+import dataclasses
 import types
 
+import cbor2
 import pytest
 
 from plantainway import clock as clocks
 from plantainway import cluster
+from plantainway.cluster import _messages
 from plantainway import deployment
 from plantainway.edge import _permits
 from plantainway import errors
 from plantainway import ratelimits
+from plantainway.ratelimits import _shares
 from plantainway import traffic
 
 OTHERS = ('n2', 'n3')
@@ -155,3 +159,71 @@
         harness.clock.advance(0.1)
     assert harness.asked == ['u'] * len(asked_at)
     assert len(asked_at) == 2 and asked_at[0] >= _permits.CONFIRM_AFTER_S
+
+
+class ColdHarness(Harness):
+    """The permits of a node, whose upstream ``u`` is cold."""
+
+    def __init__(self):
+        super().__init__()
+        self.limits.forget('u')
+        cold = self.limits.cold
+        service = deployment.Service('s', '/', 1, cold_per_s=17.0)
+        cold.configure(types.SimpleNamespace(services={'s': service}))
+        upstream = dataclasses.replace(self.upstream, cold_left_ms=100_000)
+        cold.upstreams = types.SimpleNamespace(by_name={'u': upstream})
+        cold.observe_entry(upstream, 1)
+
+    def update(self, **fields):
+        """Handles an update of the leader, as it arrives."""
+        update = {
+            'leader': 'n9',
+            'lease_version': 1,
+            'nodes': None,
+            'loads': {},
+            'suspects': [],
+            'closed': {},
+            'opened': [],
+            'tables': [],
+        }
+        data = cbor2.dumps(['digest', update | fields])
+        self.task.handle_update(_messages.decode(data, 'n9'))
+
+    async def send_for(self, seconds):
+        """Returns the times of the permits when asking all the time."""
+        times = []
+        for _ in range(int(seconds * 50)):
+            if await self.acquire() == 'u':
+                times.append(self.clock.now())
+            self.clock.advance(0.02)
+        return times
+
+
+async def test_leader_of_an_earlier_build_issues_no_permits_for_cold_ones():
+    """It permits any number, so each node keeps to its equal part."""
+    harness = ColdHarness()
+    harness.link.reply = ratelimits.Permit('u', 0.0)
+    harness.update()
+    began_at = harness.clock.now()
+    times = await harness.send_for(8.0)
+    assert times[0] >= began_at + _shares.COLD_SHARE_DELAY_S
+    # One of three nodes that share 17 requests in any second.
+    assert 5 * 5 <= len(times) <= 6 * 6
+    assert max(sum(at <= one < at + 1.0 for one in times) for at in times) <= 6
+    # Named limits are still those of the leader.
+    assert harness.shares.shares() == {}
+    other = deployment.Upstream('v', 's', '', 'a', 2, False)
+    harness.limits.observe(other, 2.0)
+    harness.link.reply = ratelimits.Permit('v', 0.0)
+    both = [harness.upstream, other]
+    found = [await harness.source.acquire(both, 0.0) for _ in range(20)]
+    assert {item.name for item in found[-10:]} == {'v'}
+
+
+async def test_leader_of_this_build_issues_all_permits():
+    """An empty list tells that it limits cold upstreams."""
+    harness = ColdHarness()
+    harness.link.reply = ratelimits.Permit('u', 0.0)
+    harness.update()
+    harness.update(cold=[])
+    assert len(await harness.send_for(1.0)) == 50
