--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -517,7 +517,7 @@
         'plantainway/cluster/_follower.py',
         'if row.version > version\n'
         '            or row.key in self._kept_keys\n'
-        '            or self._outlasts(row, self.version)\n',
+        '            or self._is_kept_if_missing(row, self.version)\n',
         'if True\n',
         'tests/cluster/test_hub.py tests/cluster/test_follower.py',
     ),
@@ -1128,15 +1128,15 @@
     Mutant(
         'shares end in time',
         'plantainway/ratelimits/_shares.py',
-        'if self._is_in_touch or self._clock.now() >= self._valid_until:',
-        'if self._is_in_touch:',
+        'not self._is_in_touch and self._clock.now() < self._valid_until',
+        'not self._is_in_touch',
         'tests/ratelimits',
     ),
     Mutant(
         'requests sent before count against a share',
         'plantainway/ratelimits/_shares.py',
-        'if self._sent_count(upstream) >= share:',
-        'if not share:',
+        'return self._sent_count(upstream) < self._share(upstream)',
+        'return bool(self._share(upstream))',
         'tests/ratelimits',
     ),
     Mutant(
@@ -1391,15 +1391,15 @@
     Mutant(
         'shares of a cold upstream hold in any second',
         'plantainway/ratelimits/_shares.py',
-        'units(per_second, _cold.COLD_WINDOW_S), self._node',
-        'units(per_second), self._node',
+        'self._equal_part(units(cold_per_s, _cold.COLD_WINDOW_S))',
+        'self._equal_part(units(cold_per_s))',
         'tests/ratelimits/test_cold.py',
     ),
     Mutant(
         'shares of a cold upstream begin when the leader holds them back',
         'plantainway/ratelimits/_shares.py',
-        'if is_begun else 0',
-        'if True else 0',
+        'if self._clock.now() < self._cold_from:',
+        'if False:',
         'tests/ratelimits/test_cold.py',
     ),
     Mutant(
@@ -1409,6 +1409,58 @@
         'self._returned.pop(node, None)',
         'tests/ratelimits/test_cold.py',
     ),
+    Mutant(
+        'odd fields on cold upstreams count as 0',
+        'plantainway/platform/_messages.py',
+        '        return _COLD_FIELD.validate_python(value) or 0.0\n'
+        '    except pydantic.ValidationError:\n',
+        '        return _COLD_FIELD.validate_python(value) or 0.0\n'
+        '    except ZeroDivisionError:\n',
+        'tests/platform/test_messages.py',
+    ),
+    Mutant(
+        'an unreadable cold time is logged once',
+        'plantainway/platform/_upstreams.py',
+        '        if name in self._unreadable_cold:\n            return\n',
+        '',
+        'tests/platform/test_cold_engines.py',
+    ),
+    Mutant(
+        'what is held back of cold rates is kept for a tick',
+        'plantainway/ratelimits/_issuer.py',
+        '        if per_second not in self._cold_held_back:\n',
+        '        if True:\n',
+        'tests/ratelimits/test_cold.py',
+    ),
+    Mutant(
+        'a lost node changes what is held back at once',
+        'plantainway/ratelimits/_issuer.py',
+        'heard_at + RESERVATION_TTL_S, shares)\n'
+        '        self._cold_held_back.clear()\n',
+        'heard_at + RESERVATION_TTL_S, shares)\n',
+        'tests/ratelimits/test_cold.py',
+    ),
+    Mutant(
+        'a request looks at the shares of its candidates only',
+        'plantainway/ratelimits/_shares.py',
+        'return self._sent_count(upstream) < self._share(upstream)',
+        'return self._sent_count(upstream) < self.shares().get(upstream, 0)',
+        'tests/ratelimits/test_cold.py',
+    ),
+    Mutant(
+        'equal parts of cold rates beside a leader of an earlier build',
+        'plantainway/edge/_permits.py',
+        '        if update.cold is None:\n',
+        '        if False:\n',
+        'tests/edge/test_permits.py',
+    ),
+    Mutant(
+        'a late permit for a cold upstream is dropped',
+        'plantainway/edge/_permits.py',
+        'if late_s <= PERMIT_LATE_MAX_S or not is_cold:',
+        'if True:',
+        'tests/edge/test_permits.py',
+    ),
     Mutant(
         'the cold time alone changes no upstream',
         'plantainway/deployment/_upstreams.py',
@@ -1433,8 +1485,18 @@
     Mutant(
         'upstreams of evacuated zones are left out',
         'plantainway/deployment/_upstreams.py',
-        'if not item.draining and not self.is_evacuated(item)',
-        'if not item.draining',
+        'return not upstream.draining and not self.is_evacuated(upstream)',
+        'return not upstream.draining',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'only open heads are checked for evacuation',
+        'plantainway/deployment/_upstreams.py',
+        '            for item in self._find_heads(service, model)\n'
+        '            if self._is_available(item)\n',
+        '            for item in self.find_available(service)\n'
+        '            if item.is_open_head\n'
+        '            and item.membership.model == model\n',
         'tests/edge/test_evacuation.py',
     ),
     Mutant(
@@ -1456,8 +1518,8 @@
     Mutant(
         'a row lost in a restore stays in force',
         'plantainway/cluster/_follower.py',
-        '            if self._outlasts(self.rows[key], version):',
-        '            if False:',
+        'if not self._is_kept_if_missing(self.rows[key], version)\n',
+        'if True\n',
         'tests/edge/test_evacuation.py',
     ),
     Mutant(
@@ -1470,14 +1532,56 @@
     Mutant(
         'a lost row reaches nodes whose table is newer',
         'plantainway/cluster/_follower.py',
-        '            self._add_outlasting(reading.rows)\n',
+        '            self._add_missing(reading.rows)\n',
         '',
         'tests/edge/test_evacuation.py',
     ),
+    Mutant(
+        'a row is not added again after its removal',
+        'plantainway/cluster/_follower.py',
+        'return row.version > self._removed_versions.get(row.key, -1)',
+        'return True',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'remembered removals are bounded',
+        'plantainway/cluster/_follower.py',
+        'if len(self._removed_versions) > REMOVALS_KEPT_MAX:',
+        'if False:',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a row that a restored store does not confirm ends',
+        'plantainway/cluster/_follower.py',
+        '        self._update_confirmations(now)\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a row that has ended unconfirmed is not added again',
+        'plantainway/cluster/_follower.py',
+        '                self._record_removal(key, self.version)\n',
+        '',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'repeated snapshots do not prolong an unconfirmed row',
+        'plantainway/cluster/_follower.py',
+        'key: known.get(key, now + CONFIRMATION_TIMEOUT_S)',
+        'key: now + CONFIRMATION_TIMEOUT_S',
+        'tests/edge/test_evacuation.py',
+    ),
+    Mutant(
+        'a lost row is logged once',
+        'plantainway/cluster/_follower.py',
+        'for key in self._confirm_by.keys() - known.keys():',
+        'for key in self._confirm_by:',
+        'tests/edge/test_evacuation.py',
+    ),
     Mutant(
         'a lost row is relayed',
         'plantainway/cluster/_follower.py',
-        '            or self._outlasts(row, self.version)\n',
+        '            or self._is_kept_if_missing(row, self.version)\n',
         '',
         'tests/edge/test_evacuation.py',
     ),
@@ -1582,7 +1686,7 @@
         'a model that has gained groups gives none away',
         'plantainway/supply/_balance.py',
         '            if self._held_until.get(pair.donor.name, now) <= now\n',
-        '            if True\n',
+        'if True\n',
         'tests/supply/test_balance.py',
     ),
     Mutant(
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -14,6 +14,11 @@
 REMOVAL_GRACE_S = 2.0  # writers restore entries that expired in an outage
 OUTAGE_MIN_S = 1.0  # shorter failures do not count as an outage
 CHANGES_KEPT_MAX = 512  # nodes further behind get a full snapshot
+# A store may report no change when a row that it lacks is removed. A row that
+# a restored store lacks is therefore kept only for the time in which its
+# writer can notice the restore and write it again.
+CONFIRMATION_TIMEOUT_S = 30.0
+REMOVALS_KEPT_MAX = 256  # newest removals that other nodes may have missed
 
 
 class TableCache:
@@ -27,9 +32,11 @@
             that time is over, so that their writers can write them again.
         ranks: Functions by key that return the rank of the row's value, which
             grows with each change. Such rows are never removed.
-        is_lost: Function of the key and version of a known row and of the
-            version of a snapshot that lacks it. Returns whether the row stays
-            known all the same, until a change removes it.
+        keeps_missing: Function of the key and version of a known row and of
+            the version of a snapshot that lacks it. Returns whether the row
+            is kept all the same, until a change removes it or for
+            ``CONFIRMATION_TIMEOUT_S``. Other nodes may relay such a row after
+            its removal, so versions of removals are remembered.
 
     Attributes:
         rows: Rows by key.
@@ -47,10 +54,12 @@
         clock,
         defers_removals: bool = False,
         ranks=None,
-        is_lost=None,
+        keeps_missing=None,
     ):
         self._ranks = ranks or {}
-        self._is_lost = is_lost
+        self._keeps_missing = keeps_missing
+        self._removed_versions: dict[str, int] = {}
+        self._confirm_by: dict[str, float] = {}  # ends of rows kept, by key
         self._kept_keys: set[str] = set()
         self.name = name
         self._clock = clock
@@ -120,7 +129,7 @@
                 cache holds already; ``None`` if it has all rows.
         """
         if reading.version < self.version:
-            self._add_outlasting(reading.rows)
+            self._add_missing(reading.rows)
             return
         self._record_contact()
         present = (
@@ -129,7 +138,9 @@
             else {row.key for row in reading.rows}
         )
         removed_keys = [key for key in self.rows if key not in present]
-        removed_keys = self._without_lost(removed_keys, reading.version)
+        removed_keys = self._without_kept(removed_keys, reading.version)
+        for key in removed_keys:
+            self._record_removal(key, reading.version)
         changed = [row for row in reading.rows if self._replaces(row)]
         self._update_rows(changed, removed_keys, reading.version, as_of)
 
@@ -155,40 +166,52 @@
             removed_keys.pop(row.key, None)
             if row.value is None:
                 removed_keys[row.key] = row
+                self._record_removal(row.key, row.version)
             else:
                 changed[row.key] = row
         self._update_rows(
             list(changed.values()), list(removed_keys), reading.version, as_of
         )
 
-    def _without_lost(self, keys, version: int) -> list:
+    def _without_kept(self, keys, version: int) -> list:
         """Returns those of some keys that a snapshot shows to be removed."""
-        removed_keys = []
-        for key in keys:
-            if self._outlasts(self.rows[key], version):
-                logs.event('lost_row_kept', table=self.name, key=key)
-            else:
-                removed_keys.append(key)
-        return removed_keys
+        return [
+            key
+            for key in keys
+            if not self._is_kept_if_missing(self.rows[key], version)
+        ]
 
-    def _outlasts(self, row, version: int) -> bool:
-        """Returns whether a row counts although a snapshot lacks it."""
-        return self._is_lost is not None and self._is_lost(
+    def _is_kept_if_missing(self, row, version: int) -> bool:
+        """Returns whether a row is kept although a snapshot lacks it."""
+        return self._keeps_missing is not None and self._keeps_missing(
             row.key, row.version, version
         )
 
-    def _add_outlasting(self, rows) -> None:
+    def _add_missing(self, rows) -> None:
         """Adds those rows of an older snapshot that the store has lost."""
         missing = [
             row
             for row in rows
-            if row.key not in self.rows and self._outlasts(row, self.version)
+            if row.key not in self.rows
+            and self._is_kept_if_missing(row, self.version)
+            and self._replaces(row)
         ]
         if missing:
             self._update_rows(missing, [], self.version, self.current_as_of)
 
+    def _record_removal(self, key: str, version: int) -> None:
+        """Remembers the removal of a row that other nodes may keep."""
+        if self._keeps_missing is None:
+            return
+        if not self._keeps_missing(key, -1, version):
+            return
+        known = self._removed_versions.pop(key, -1)
+        self._removed_versions[key] = max(known, version)
+        if len(self._removed_versions) > REMOVALS_KEPT_MAX:
+            del self._removed_versions[next(iter(self._removed_versions))]
+
     def _replaces(self, row) -> bool:
-        """Returns whether a row is newer than the known one.
+        """Returns whether a row is newer than the known one or its removal.
 
         If it is newer but has a value of a lower rank, the known value gets
         its version and is relayed again: other nodes may have got the row
@@ -196,7 +219,7 @@
         """
         known = self.rows.get(row.key)
         if known is None:
-            return True
+            return row.version > self._removed_versions.get(row.key, -1)
         rank_of = self._ranks.get(row.key)
         if rank_of is None:
             return row.version > known.version
@@ -261,16 +284,40 @@
             removed.append(key)
         self.version = max(version, self.version)
         self.current_as_of = max(as_of, self.current_as_of)
+        self._update_confirmations(now)
         self._notify(changed, removed)
 
+    def _update_confirmations(self, now: float) -> None:
+        """Sets until when rows that the store has lost are kept."""
+        if self._keeps_missing is None:
+            return
+        known = self._confirm_by
+        self._confirm_by = {
+            key: known.get(key, now + CONFIRMATION_TIMEOUT_S)
+            for key, row in self.rows.items()
+            if self._is_kept_if_missing(row, self.version)
+        }
+        for key in self._confirm_by.keys() - known.keys():
+            logs.event('lost_row_kept', table=self.name, key=key)
+
     def remove_due_rows(self) -> None:
-        """Removes the rows whose deferred removal has come due."""
+        """Removes the rows that were kept for a time that has passed.
+
+        These are rows whose removal was deferred, and rows that a restored
+        store lacks.
+        """
         now = self._clock.now()
         due_keys = [
             key for key, until in self._removal_due_at.items() if now >= until
         ]
+        for key, until in self._confirm_by.items():
+            if now >= until:
+                logs.event('lost_row_dropped', table=self.name, key=key)
+                self._record_removal(key, self.version)
+                due_keys.append(key)
         for key in due_keys:
-            del self._removal_due_at[key]
+            self._removal_due_at.pop(key, None)
+            self._confirm_by.pop(key, None)
             self.rows.pop(key, None)
         if due_keys:
             self._notify([], due_keys)
@@ -299,7 +346,7 @@
             for row in self.rows.values()
             if row.version > version
             or row.key in self._kept_keys
-            or self._outlasts(row, self.version)
+            or self._is_kept_if_missing(row, self.version)
         ]
 
     def changes_since(self, revision: int) -> tuple[list, list] | None:
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -182,8 +182,9 @@
     of them without being in touch. ``unreached`` names engines that the
     leader does not reach, by number of the question. ``cold`` are the
     upstreams whose answers to any node showed that they are cold, sent along
-    with ``limits``. ``pressure_ms`` is as in the heartbeat, the longest of
-    all nodes.
+    with ``limits``; ``None`` comes from a leader of an earlier build, which
+    does not limit cold upstreams. ``pressure_ms`` is as in the heartbeat, the
+    longest of all nodes.
     """
 
     leader: str
@@ -199,9 +200,7 @@
     limits: list[ratelimits.LimitObservation] | None = None
     absent: list[str] = dataclasses.field(default_factory=list)
     unreached: dict[int, str] = dataclasses.field(default_factory=dict)
-    cold: list[ratelimits.ColdObservation] = dataclasses.field(
-        default_factory=list
-    )
+    cold: list[ratelimits.ColdObservation] | None = None
     pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
         default_factory=dict
     )
--- a/plantainway/edge/_permits.py
+++ b/plantainway/edge/_permits.py
@@ -10,6 +10,10 @@
 CONFIRM_AFTER_S = 2.0
 CONFIRM_INTERVAL_S = 1.0
 TICK_S = 0.1
+# A permit for a cold upstream that would be used later is dropped: the burst
+# of such an upstream allows only for this and the time to connect.
+PERMIT_LATE_MAX_S = 0.1
+ATTEMPTS_MAX = 2  # requests for a permit, if the first one is late
 LEADER_RETRY_AFTER_S = 0.5  # a lost leader is noticed within about a second
 
 
@@ -23,15 +27,17 @@
         shares: What this node may send while it hears of no leader.
         leadership: Leader lease.
         link: Link to the leader.
+        clock: Source of monotonic time.
     """
 
-    def __init__(self, node, limits, issuer, shares, leadership, link):
+    def __init__(self, node, limits, issuer, shares, leadership, link, clock):
         self._node = node
         self._limits = limits
         self._issuer = issuer
         self._shares = shares
         self._leadership = leadership
         self._link = link
+        self._clock = clock
 
     def is_limited(self, upstream) -> bool:
         """Returns whether an upstream has named a limit or is cold."""
@@ -39,19 +45,30 @@
 
     async def acquire(self, upstreams, max_wait_s: float):
         """Waits until one request may be sent; see the base class."""
-        permit = await self._request(
-            [one.name for one in upstreams], max_wait_s
-        )
-        if not permit.upstream:
-            raise errors.NotRunError(
-                'upstreams take no more requests for now',
-                'permit',
-                reason=traffic.REASON_LIMITED,
-                retry_after_s=permit.wait_s,
+        names = [one.name for one in upstreams]
+        wait_until = self._clock.now() + max_wait_s
+        for _ in range(ATTEMPTS_MAX):
+            asked_at = self._clock.now()
+            permit = await self._request(
+                names, max(wait_until - asked_at, 0.0)
             )
-        if permit.wait_s > 0:
-            await asyncio.sleep(permit.wait_s)
-        return next(one for one in upstreams if one.name == permit.upstream)
+            if not permit.upstream:
+                break
+            if permit.wait_s > 0:
+                await asyncio.sleep(permit.wait_s)
+            late_s = self._clock.now() - asked_at - permit.wait_s
+            is_cold = self._limits.is_cold(permit.upstream)
+            if late_s <= PERMIT_LATE_MAX_S or not is_cold:
+                return next(
+                    one for one in upstreams if one.name == permit.upstream
+                )
+            permit = ratelimits.Permit('', LEADER_RETRY_AFTER_S)
+        raise errors.NotRunError(
+            'upstreams take no more requests for now',
+            'permit',
+            reason=traffic.REASON_LIMITED,
+            retry_after_s=permit.wait_s,
+        )
 
     async def _request(self, names, max_wait_s: float) -> ratelimits.Permit:
         if self._leadership.is_leader():
@@ -59,13 +76,23 @@
         elif self._link.is_receiving:
             permit = await self._request_from_leader(names, max_wait_s)
         else:
-            return self._request_from_shares(names)
+            permit = self._request_from_shares(names)
         if permit.upstream in names:
             self._shares.record_sent(permit.upstream)
             return permit
         return ratelimits.Permit('', permit.wait_s)
 
     async def _request_from_leader(self, names, max_wait_s: float):
+        if self._shares.has_cold_parts:
+            cold = [
+                name
+                for name in names
+                if self._limits.find_cold_by_name(name) is not None
+            ]
+            permit = self._request_from_shares(cold)
+            if permit.upstream or len(cold) == len(names):
+                return permit
+            names = [name for name in names if name not in cold]
         try:
             return await self._link.request_permit(names, max_wait_s)
         except errors.LeaderUnavailableError:
@@ -73,7 +100,7 @@
 
     def _request_from_shares(self, names) -> ratelimits.Permit:
         for name in names:
-            if self._shares.try_send(name):
+            if self._shares.may_send(name):
                 return ratelimits.Permit(name, 0.0)
         return ratelimits.Permit('', self._shares.retry_after_s(names))
 
@@ -153,7 +180,12 @@
         """
         if update.limits is not None:
             self._limits.merge(update.limits, self._link.update_delay_s)
-        self._limits.cold.merge(update.cold)
+        if update.cold is None:
+            nodes = [info.node for info in self._link.nodes]
+            self._shares.begin_cold_parts(nodes)
+        else:
+            self._shares.end_cold_parts()
+            self._limits.cold.merge(update.cold)
 
     def update_touch(self, is_leader: bool) -> None:
         """Fixes the shares of this node when it hears of no leader.
--- a/plantainway/edge/_view.py
+++ b/plantainway/edge/_view.py
@@ -41,7 +41,7 @@
             platform.CONFIG_TABLE,
             clock,
             ranks={platform.CONFIG_KEY: platform.configuration_version},
-            is_lost=platform.is_lost_evacuation,
+            keeps_missing=platform.is_lost_evacuation,
         )
         self.upstream_table = cluster.TableCache(
             platform.UPSTREAM_TABLE, clock, defers_removals=True
@@ -201,6 +201,13 @@
             bytes=len(row.value),
             services=len(cfg.services),
         )
+        if cfg.odd_cold_services:
+            logs.event(
+                'cold_field_odd',
+                'WARNING',
+                version=cfg.version,
+                services=','.join(cfg.odd_cold_services),
+            )
 
     def _apply_upstreams(self, changed, removed) -> None:
         for key in removed:
--- a/plantainway/ratelimits/_shares.py
+++ b/plantainway/ratelimits/_shares.py
@@ -50,6 +50,10 @@
         node: Name of this node.
         limits: The limits that upstreams have named.
         clock: Source of monotonic time.
+
+    Attributes:
+        has_cold_parts: Whether this node uses its equal parts of the rates of
+            cold upstreams, although it hears of a leader.
     """
 
     def __init__(self, node: str, limits, clock):
@@ -58,11 +62,12 @@
         self._clock = clock
         self._sent: dict[str, _window.SlidingWindow] = {}
         self._shares: dict[str, int] = {}
-        self._cold_shares: dict[tuple[str, float], int] = {}
+        self._equal_parts: dict[int, int] = {}
         self._nodes: frozenset = frozenset()
         self._valid_until = float('-inf')
         self._cold_from = float('inf')
         self._is_in_touch = True
+        self.has_cold_parts = False
 
     def record_sent(self, upstream: str) -> None:
         """Counts a request to a limited upstream.
@@ -101,13 +106,34 @@
         self._is_in_touch = False
         self._nodes = frozenset(nodes) | {self._node}
         self._cold_from = heard_at + COLD_SHARE_DELAY_S
-        self._cold_shares.clear()
+        self._equal_parts.clear()
         self._valid_until = heard_at + SHARE_TTL_S
         self._shares = {
             name: min(self._sent_count(name), self._max_share(per_second))
             for name, per_second in self._limits.in_force().items()
         }
 
+    def begin_cold_parts(self, nodes) -> None:
+        """Uses equal parts of cold upstreams while in touch with the leader.
+
+        A leader of an earlier build permits any number of requests to them.
+
+        Args:
+            nodes: Names of the nodes as last known.
+        """
+        known = frozenset(nodes) | {self._node}
+        if not self.has_cold_parts:
+            self._cold_from = self._clock.now() + COLD_SHARE_DELAY_S
+        elif known == self._nodes:
+            return
+        self.has_cold_parts = True
+        self._nodes = known
+        self._equal_parts.clear()
+
+    def end_cold_parts(self) -> None:
+        """Leaves the permits for cold upstreams to the leader again."""
+        self.has_cold_parts = False
+
     def _max_share(self, per_second: float) -> int:
         return max_share(per_second, len(self._nodes))
 
@@ -129,48 +155,69 @@
         Returns:
             Whether the request may be sent.
         """
-        share = self.shares().get(upstream, 0)
-        if self._sent_count(upstream) >= share:
+        if not self.may_send(upstream):
             return False
         self.record_sent(upstream)
         return True
 
+    def may_send(self, upstream: str) -> bool:
+        """Returns whether the share of an upstream allows a request.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        return self._sent_count(upstream) < self._share(upstream)
+
     def retry_after_s(self, upstreams) -> float:
         """Returns the seconds until one of the shares allows a request.
 
         Args:
             upstreams: Names of the upstreams.
         """
-        shares = self.shares()
         return min(
             (
                 self._sent[name].remaining_s(self._window_s(name))
                 for name in upstreams
-                if shares.get(name) and name in self._sent
+                if name in self._sent and self._share(name)
             ),
             default=SHARE_WINDOW_S,
         )
 
     def shares(self) -> dict[str, int]:
         """Returns the shares in force by upstream, empty while in touch."""
-        if self._is_in_touch or self._clock.now() >= self._valid_until:
+        if not self._is_valid():
             return {}
-        for name, per_second in self._limits.in_force().items():
-            if name not in self._shares:
-                self._shares[name] = _window.equal_quota(
-                    units(per_second), self._node, self._nodes
-                )
-        is_begun = self._clock.now() >= self._cold_from
-        shares = self._shares | {
-            name: self._cold_share(name, per_second) if is_begun else 0
-            for name, per_second in self._limits.cold_in_force().items()
-        }
+        names = self._shares.keys() | self._limits.in_force().keys()
+        names |= self._limits.cold_in_force().keys()
+        shares = {name: self._share(name) for name in names}
         return {name: share for name, share in shares.items() if share}
 
-    def _cold_share(self, name: str, per_second: float) -> int:
-        key = (name, per_second)
-        if key not in self._cold_shares:
-            self._cold_shares[key] = _window.equal_quota(
-                units(per_second, _cold.COLD_WINDOW_S), self._node, self._nodes
+    def _is_valid(self) -> bool:
+        return not self._is_in_touch and self._clock.now() < self._valid_until
+
+    def _share(self, name: str) -> int:
+        """Returns the share of one upstream, 0 if the leader decides."""
+        uses_cold_part = self._is_in_touch and self.has_cold_parts
+        if not self._is_valid() and not uses_cold_part:
+            return 0
+        cold_per_s = self._limits.find_cold_by_name(name)
+        if cold_per_s is not None:
+            if self._clock.now() < self._cold_from:
+                return 0
+            return self._equal_part(units(cold_per_s, _cold.COLD_WINDOW_S))
+        if uses_cold_part:
+            return 0
+        if name not in self._shares:
+            per_second = self._limits.find_named(name)
+            if per_second is None:
+                return 0
+            self._shares[name] = self._equal_part(units(per_second))
+        return self._shares[name]
+
+    def _equal_part(self, count: int) -> int:
+        """Returns this node's part of some units."""
+        if count not in self._equal_parts:
+            self._equal_parts[count] = _window.equal_quota(
+                count, self._node, self._nodes
             )
-        return self._cold_shares[key]
+        return self._equal_parts[count]
