Share first events of ramps among nodes

With hundreds of nodes each sees few first events of a head, so the ramp of an opened or recovered head followed the time only, and a slow answer held back one node.

Heartbeats now carry the numbers of fast and slow first events since the ramp has begun, the leader's updates the running sums of all nodes, for heads with a ramp. Ramps follow the sums; an increase is taken as own results first, so none counts twice. A ramp ends 2 s after its limit was full, so that slow answers that become known late still lower it.

--- a/plantainway/cluster/_hub.py
+++ b/plantainway/cluster/_hub.py
@@ -11,6 +11,7 @@
 from websockets.asyncio import server as ws_server
 
 from plantainway.cluster import _messages
+from plantainway.cluster import _ramps
 from plantainway import errors
 from plantainway import logs
 from plantainway import loops
@@ -161,6 +162,7 @@
         self._adopted_nodes: dict[str, tuple[float, _messages.NodeInfo]] = {}
         self._total_work: dict[str, float] = {}
         self._last_work_by_node: dict[str, dict[str, float]] = {}
+        self._ramps = _ramps.RampSums()
         self.on_heartbeat = []
         self.disbanded_epochs = dict
         self.opened_heads = list
@@ -297,6 +299,18 @@
                         longest.setdefault(key, {})[priority] = left_ms
         return longest
 
+    def total_ramps(self) -> dict[str, tuple[int, int]]:
+        """Returns the first events at heads with a ramp, of all nodes.
+
+        Returns:
+            Numbers of fast and slow ones by head and epoch.
+        """
+        self._ramps.add(self._node, self._own_heartbeat().ramps)
+        beats = self.live_heartbeats()
+        return self._ramps.retain(
+            {key for beat in beats for key in beat.ramps}
+        )
+
     def total_work(self) -> dict[str, float]:
         """Returns the increase in requested work that heartbeats have shown.
 
@@ -393,6 +407,7 @@
                 self._heartbeats[name] = (now, beat)
                 self._add_work(beat)
                 self._add_work(self._own_heartbeat())
+                self._ramps.add(name, beat.ramps)
                 for listener in self.on_heartbeat:
                     listener(beat, delay_s)
         except (websockets.ConnectionClosed, errors.WireError) as exc:
@@ -484,6 +499,7 @@
                     self.limits.cold.observations() if includes_limits else []
                 ),
                 pressure_ms=self.pressure_ms(),
+                ramps=self.total_ramps(),
             )
             shared.encoded[key] = _messages.encode_for_node(update)
         link.sent_nodes = shared.nodes
--- a/plantainway/cluster/_messages.py
+++ b/plantainway/cluster/_messages.py
@@ -63,7 +63,9 @@
     showed since its last heartbeat that they are cold, all of them in the
     first one on a link. ``pressure_ms`` is for how much longer less urgent
     requests leave headroom, by ``service/model`` and by the priority that was
-    refused, queued or late on this node.
+    refused, queued or late on this node. ``ramps`` are the numbers of fast
+    and slow first events on this node since it has begun to ramp up a head,
+    by ``head/epoch``.
     """
 
     info: NodeInfo
@@ -91,6 +93,7 @@
     pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
         default_factory=dict
     )
+    ramps: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,7 +186,7 @@
     leader does not reach, by number of the question. ``cold`` are the
     upstreams whose answers to any node showed that they are cold, sent along
     with ``limits``. ``pressure_ms`` is as in the heartbeat, the longest of
-    all nodes.
+    all nodes; ``ramps`` likewise, the sums of all nodes.
     """
 
     leader: str
@@ -205,6 +208,7 @@
     pressure_ms: dict[str, dict[int, int]] = dataclasses.field(
         default_factory=dict
     )
+    ramps: dict[str, tuple[int, int]] = dataclasses.field(default_factory=dict)
 
 
 _TAGS = {
--- a/plantainway/edge/_gossip.py
+++ b/plantainway/edge/_gossip.py
@@ -65,6 +65,7 @@
             shares=self._shares(),
             reached=self._answers(),
             pressure_ms=self._dependencies.heads.pressure.remaining_ms(),
+            ramps=self._dependencies.heads.warmup.results(),
         )
 
     def report_suspect(self, head: str) -> None:
@@ -109,6 +110,7 @@
         """
         self.set_node_count(node_count)
         self._dependencies.heads.pressure.merge(update.pressure_ms)
+        self._dependencies.heads.warmup.merge(update.ramps)
         self.update_other_loads(update.loads, sent_loads)
         self.mark_heads_closed(update.closed)
         self.mark_heads_open(
--- a/plantainway/edge/_node.py
+++ b/plantainway/edge/_node.py
@@ -470,6 +470,7 @@
         self._quarantine.handle_heartbeat(beat)
         self._witness.handle_answers(beat.info.node, beat.reached)
         self._dependencies.heads.pressure.merge(self._hub.pressure_ms())
+        self._dependencies.heads.warmup.merge(self._hub.total_ramps())
         self._leader_sync.update_other_loads(
             self._hub.total_loads(), self._dependencies.loads.local_counts
         )
--- a/plantainway/traffic/_warmup.py
+++ b/plantainway/traffic/_warmup.py
@@ -15,28 +15,76 @@
 BACKOFF = 0.5  # part of the load that is left after a slow first event
 # Requests that were sent before a reduction are slow too.
 BACKOFF_INTERVAL_S = 0.5
+# A ramp ends this long after its limit was full. A first event at another node
+# may take 0.5 s, and is known two intervals of messages (0.4 s) and their ways
+# (0.3 s) later.
+CONFIRM_S = 2.0
 # Full engines ask for shorter pauses all the time.
 PAUSE_MIN_S = 0.5
 
 
+@dataclasses.dataclass(slots=True)
+class _Count:
+    """First events of one kind, fast or slow, since a ramp has begun.
+
+    ``own`` are those of this node, ``unsummed`` those of them that no sum of
+    the leader is known to include. ``highest_sum`` is the highest sum of all
+    nodes that was received.
+    """
+
+    own: int = 0
+    unsummed: int = 0
+    highest_sum: int = 0
+
+    def add_own(self) -> None:
+        """Adds a first event at this node."""
+        self.own += 1
+        self.unsummed += 1
+
+    def add_sum(self, total: int) -> int:
+        """Takes over a sum of all nodes.
+
+        A lower one, as that of a new leader, changes nothing until it
+        exceeds the highest: it repeats what was counted before.
+
+        Args:
+            total: The sum.
+
+        Returns:
+            The first events at other nodes that it adds.
+        """
+        increase = max(total - self.highest_sum, 0)
+        self.highest_sum += increase
+        summed = min(increase, self.unsummed)
+        self.unsummed -= summed
+        return increase - summed
+
+
 @dataclasses.dataclass(slots=True)
 class _Ramp:
     """Load that a head may have at ``as_of``, in monotonic seconds.
 
     The ramp begins with the first choice of the head, before which ``load``
-    is 0.
+    is 0. ``key`` names the head and the epoch of its group. The ramp ends at
+    ``ends_at`` unless a slow first event lowers ``load`` until then.
     """
 
+    key: str
     load: float = 0.0
+    full_load: int = 0
     as_of: float = 0.0
+    ends_at: float = float('inf')
     reduce_from: float = 0.0
+    fast: _Count = dataclasses.field(default_factory=_Count)
+    slow: _Count = dataclasses.field(default_factory=_Count)
 
 
 class WarmupPacer:
     """Limits the load of heads that have just opened or recovered.
 
     The limit grows with time, by one request with each first event that is
-    as fast as those of other heads, and falls to a half with a slow one.
+    as fast as those of other heads, and falls to a half with a slow one, of
+    this node or, as the leader's sums show, of another.
 
     Args:
         clock: Source of monotonic time.
@@ -50,6 +98,7 @@
         self._ramp_s: dict[str, float] = {}
         self._urgent_priorities: dict[str, int] = {}
         self._ramps: dict[str, _Ramp] = {}
+        self._sums: dict[str, tuple[int, int]] = {}
         self._opened_epochs: dict[str, int] = {}
         self._average_s: dict[tuple[str, str], float] = {}
         self._is_bypassed = False
@@ -81,7 +130,7 @@
         epoch = head.membership.epoch
         if self._opened_epochs.get(head.name) != epoch:
             self._opened_epochs[head.name] = epoch
-            self._begin(head)
+            self._begin(head, {})
 
     def handle_ejected(self, head) -> None:
         """Begins the ramp of a head that is left out after failures.
@@ -89,7 +138,7 @@
         Args:
             head: The head.
         """
-        self._begin(head)
+        self._begin(head, self._sums)
 
     def handle_paused(self, head, pause_s: float) -> None:
         """Begins the ramp of a head that asks for no requests for a time.
@@ -99,11 +148,23 @@
             pause_s: Seconds for which it asks for none.
         """
         if pause_s >= PAUSE_MIN_S:
-            self._begin(head)
+            self._begin(head, self._sums)
 
-    def _begin(self, head) -> None:
+    def _begin(self, head, sums) -> None:
+        """Begins a ramp, which leaves out the first events in ``sums``."""
         if head.service in self._ramp_s and head.membership is not None:
-            self._ramps[head.name] = _Ramp()
+            key = f'{head.name}/{head.membership.epoch}'
+            fast, slow = sums.get(key, (0, 0))
+            ramp = _Ramp(
+                key,
+                fast=_Count(highest_sum=fast),
+                slow=_Count(highest_sum=slow),
+            )
+            previous = self._ramps.get(head.name)
+            if previous is not None and previous.key == key:
+                ramp.fast.unsummed = previous.fast.unsummed
+                ramp.slow.unsummed = previous.slow.unsummed
+            self._ramps[head.name] = ramp
 
     def max_load(self, head, full_load: int) -> int:
         """Returns how many requests a head may have at once.
@@ -117,14 +178,14 @@
         if ramp is None or ramp_s is None or self._is_bypassed:
             return full_load
         now = self._clock.now()
+        ramp.full_load = full_load
         if ramp.load:
-            ramp.load += full_load * (now - ramp.as_of) / ramp_s
+            self._raise(ramp, full_load * (now - ramp.as_of) / ramp_s)
         else:
             ramp.load = max(full_load * START_PART, 1.0)
         ramp.as_of = now
-        if ramp.load >= full_load:
+        if now >= ramp.ends_at:
             del self._ramps[head.name]
-            return full_load
         return int(ramp.load)
 
     def record_first_event(self, head, latency_s: float) -> None:
@@ -144,17 +205,56 @@
             self._average_s[key] = known_s + AVERAGE_WEIGHT * (
                 latency_s - known_s
             )
+        elif not ramp.load:
+            return  # the request was sent before the ramp
         elif average_s is not None and latency_s > SLOW_FACTOR * average_s:
+            ramp.slow.add_own()
             self._reduce(ramp)
-        elif ramp.load:
-            ramp.load += 1.0
+        else:
+            if average_s is not None:  # others trust only what was compared
+                ramp.fast.add_own()
+            self._raise(ramp, 1.0)
             for listener in self.on_raised:
                 listener()
 
+    def results(self) -> dict[str, tuple[int, int]]:
+        """Returns the fast and slow first events of this node.
+
+        Returns:
+            Both numbers since the ramp has begun, by head and epoch.
+        """
+        return {
+            ramp.key: (ramp.fast.own, ramp.slow.own)
+            for ramp in self._ramps.values()
+            if ramp.load
+        }
+
+    def merge(self, sums: dict[str, tuple[int, int]]) -> None:
+        """Lets ramps follow the first events at other nodes.
+
+        The caller then dispatches waiting requests.
+
+        Args:
+            sums: Fast and slow first events of all nodes, by head and epoch.
+        """
+        self._sums = sums
+        for ramp in self._ramps.values():
+            if ramp.load and ramp.key in sums:
+                fast, slow = sums[ramp.key]
+                self._raise(ramp, ramp.fast.add_sum(fast))
+                if ramp.slow.add_sum(slow):
+                    self._reduce(ramp)
+
+    def _raise(self, ramp, count: float) -> None:
+        ramp.load = min(ramp.load + count, ramp.full_load)
+        if ramp.load == ramp.full_load:
+            ramp.ends_at = min(ramp.ends_at, self._clock.now() + CONFIRM_S)
+
     def _reduce(self, ramp) -> None:
         now = self._clock.now()
-        if ramp.load and now >= ramp.reduce_from:
+        if now >= ramp.reduce_from:
             ramp.load = max(ramp.load * BACKOFF, 1.0)
+            ramp.ends_at = float('inf')
             ramp.reduce_from = now + BACKOFF_INTERVAL_S
 
     def is_urgent(self, service: str, priority: int) -> bool:
--- a/tests/cluster/test_hub.py
+++ b/tests/cluster/test_hub.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 
+import cbor2
 import pytest
 
 from plantainway import clock as clocks
@@ -141,6 +142,35 @@
     await conftest.until(lambda: not pair.hub.pressure_ms(), 'its end')
 
 
+async def test_sums_of_ramps_reach_each_node(pair):
+    """All nodes count, the leader too; a sum ends with the last ramp."""
+    pair.beats['n1'] = _beat('n1', ramps={'h/1': (3, 1)})
+    pair.beats['n2'] = _beat('n2', ramps={'h/1': (2, 0), 'h2/7': (0, 1)})
+    pair.link.send_soon()
+    expected = {'h/1': (5, 1), 'h2/7': (0, 1)}
+    await conftest.until(
+        lambda: pair.hub.total_ramps() == expected, 'heartbeat'
+    )
+    pair.hub.send_soon()
+    await conftest.until(
+        lambda: pair.link.last_update.ramps == expected, 'update'
+    )
+    pair.beats['n2'] = _beat('n2')
+    await conftest.until(
+        lambda: pair.link.last_update.ramps == {'h/1': (5, 1)}, 'its end'
+    )
+
+
+@pytest.mark.parametrize('kind', [_messages.Heartbeat, _messages.LeaderUpdate])
+def test_messages_without_ramps_are_read(kind):
+    """Nodes of an earlier build run beside those of this one."""
+    full = _beat('n1') if kind is _messages.Heartbeat else _update(1)
+    tag, fields = cbor2.loads(_messages.encode(full))
+    del fields['ramps']
+    got = _messages.decode(cbor2.dumps([tag, fields]), 'peer')
+    assert got == full
+
+
 @pytest.mark.parametrize(
     'suspects, expected',
     [((('h',), ()), []), ((('h',), ('h',)), ['h'])],
--- a/tests/platform/test_cold_engines.py
+++ b/tests/platform/test_cold_engines.py
@@ -82,9 +82,10 @@
 async def test_head_that_was_ejected_ramps_up_by_its_answers(
     nodes, runners, client
 ):
-    """Failures begin a ramp, first events after it raise its limit."""
+    """Failures begin a ramp, answers raise it, all nodes learn of them."""
     warmup = nodes[0]._dependencies.heads.warmup
     load = test_rate_limits.Load(client, runners, nodes[:1])
+    await load.run(0.5)  # what is usual without a ramp
     for runner in runners.values():
         runner.faults.answer = 'error'
     await load.run(1.0)
@@ -95,6 +96,11 @@
     warmup.on_raised.append(lambda: raised.append(1))
     await load.run(1.0)
     assert raised
+    for one in nodes:
+        pacer = one._dependencies.heads.warmup
+        await conftest.until(
+            lambda pacer=pacer: any(map(any, pacer._sums.values())), 'sums'
+        )
 
 
 @pytest.mark.parametrize('text', ['', '0', 'x', '-5', 'nan'])
--- a/tests/traffic/test_warmup.py
+++ b/tests/traffic/test_warmup.py
@@ -12,6 +12,7 @@
 
 FULL = 16
 FAST_S, SLOW_S = 0.1, 0.5
+KEY = 'h/1'  # of the head in leader updates
 
 
 def _head(name='h', epoch=1):
