--- a/tests/traffic/test_ramp_sums.py
+++ b/tests/traffic/test_ramp_sums.py
@@ -182,7 +182,8 @@
         ([('a', (2, 1)), ('a', (2, 1))], (2, 1)),
         ([('a', (2, 1)), ('a', None)], (2, 1)),  # its ramp has ended
         ([('a', (2, 1)), ('a', None), ('a', (3, 0))], (5, 1)),
-        ([('a', (2, 1)), ('a', (1, 0)), ('a', (2, 1))], (2, 1)),  # overtaken
+        ([('a', (2, 1)), ('a', (1, 0))], (2, 1)),  # overtaken
+        ([('a', (2, 1)), ('a', (1, 0)), ('a', (2, 1))], (2, 1)),
     ],
 )
 def test_sums_of_the_leader(reports, expected):
