review: case 9, TWO beside an entry of another writer

An entry that lacks fields counts as that of a usable engine without a group. The leader disbands the group of which that engine is the head, and orders the head, which is open, into a new group.

The stream clients move to the common module.

--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -532,6 +532,35 @@
             return port
 
 
+class LogReader:
+    """Reads the standard output and standard error of a process."""
+
+    def __init__(self):
+        self._fds = []
+        self.is_stalled = False
+        self.sizes = [0, 0]
+
+    def new_pipes(self, stack) -> tuple:
+        """Returns the ends to write to."""
+        writers = []
+        for number in range(2):
+            reader, writer = os.pipe()
+            os.set_blocking(reader, False)
+            self._fds.append((number, reader))
+            writers.append(stack.enter_context(os.fdopen(writer, 'wb')))
+        return tuple(writers)
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            for number, fd in self._fds:
+                if self.is_stalled:
+                    break
+                with contextlib.suppress(BlockingIOError):
+                    while data := os.read(fd, 65536):
+                        self.sizes[number] += len(data)
+
+
 class Node:
     """A node process, started with the command of the deploy file."""
 
@@ -545,6 +574,7 @@
         self.metrics = f'127.0.0.1:{free_port()}'
         self._path = world.folder / f'{name}.json'
         self.proc = None
+        self.reader = None
         self.log = world.folder / f'{name}.log'
 
     def settings(self) -> dict:
@@ -581,15 +611,19 @@
         }
         env['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
         env['PLANTAINWAY_SETTINGS'] = str(self._path)
-        with open(self.log, 'ab') as log:
+        with contextlib.ExitStack() as stack:
+            log = stack.enter_context(open(self.log, 'ab'))
+            ends = (log, log)
+            if self.reader is not None:
+                ends = self.reader.new_pipes(stack)
             self.proc = await asyncio.create_subprocess_exec(
                 'python3',
                 '-m',
                 'plantainway.start_edge',
                 cwd=ROOT,
                 env=env,
-                stdout=log,
-                stderr=log,
+                stdout=ends[0],
+                stderr=ends[1],
             )
         self._world.record.add(f'node {self.name} started')
 
@@ -835,6 +869,40 @@
         await asyncio.sleep(0.02)
 
 
+async def stream_clients(world, stop) -> None:
+    """Sends a stream request every 0.2 s and records the answers."""
+    number = 0
+
+    async def one(number: int) -> None:
+        node = world.nodes[number % len(world.nodes)]
+        fields = [
+            ('Request-Id', f'r{number}'),
+            ('Credential', KEY),
+            ('Model', f'm{number % 2}'),
+            ('Token-Count', '674,130'),
+            ('Prefix-Hash', f'{number:x}:674'),
+            ('Deadline-Ms', '6000'),
+        ]
+        try:
+            async with asyncio.timeout(6):
+                got = await request(
+                    node.caller, 'POST', '/stream/x', fields, b'{}'
+                )
+            text = f'{got.status} whole={got.is_whole}'
+        except (OSError, EOFError, TimeoutError) as exc:
+            text = repr(exc)[:60]
+        world.record.add(f'answer r{number}: {text}')
+
+    tasks = set()
+    while not stop.is_set():
+        number += 1
+        task = asyncio.ensure_future(one(number))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(0.2)
+    await asyncio.gather(*tasks)
+
+
 class CannotRun(Exception):
     """The case could not run."""
 
