--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -323,6 +323,7 @@
         self.is_leaving = False
         self.is_silent_to_store = False
         self.work_s = 0.03
+        self.safe_work_s = None  # of requests to /safe/, if different
         self.events = 10
         self.event_s = 0.03
 
@@ -498,7 +499,10 @@
         self.ran.append((request_id, head, body, time.monotonic()))
         fields = [*named, ('Server-Stamp', f'stamp-{self.name}')]
         if not self._models:
-            await asyncio.sleep(self.work_s)
+            work_s = self.work_s
+            if self.safe_work_s is not None and head.path.startswith('/safe/'):
+                work_s = self.safe_work_s
+            await asyncio.sleep(work_s)
             writer.write(answer(200, fields, b'answer of ' + self.name.encode()))
             return
         fields += [
