--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -31,10 +31,10 @@
 
 
 class Record:
-    """Writes what happens to ``record.txt`` in the folder of a case."""
+    """Writes what happens to a file of a case."""
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / 'record.txt', 'w')
+    def __init__(self, path):
+        self._file = open(path, 'w')
         self._began = time.monotonic()
 
     def now(self) -> float:
@@ -782,8 +782,8 @@
 class World:
     """Store, runners and nodes of one script."""
 
-    def __init__(self, folder, nodes=3, domains=2, engines=8, plain=3):
-        self.record = Record(folder)
+    def __init__(self, record, nodes=3, domains=2, engines=8, plain=3):
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store(self.record)
         self.store_address = ''
@@ -911,9 +911,8 @@
     """The case could not run."""
 
 
-def main(case, folder) -> None:
+def main(case, has_trouble: bool) -> None:
     """Runs a case and exits: 0 if the rule held, 1 if not, 2 if it can't."""
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         broken = asyncio.run(asyncio.wait_for(case(has_trouble), 115))
     except Exception as exc:
