Validate responses before the HTTP library parses them

A runner in trouble sent a response whose status was 000, and the client got it as an answer. The same holds for other statuses outside of 100 to 599, an unasked 101, and heads with blanks or control bytes in the name of a field: with the library's C parser `Connection : 2` and `Connection x: 2` passed, a `Content-Length : 2` made the body end with the connection, and line folding, bare LFs and control bytes in values passed with both parsers.

Cause: a node took for a response whatever the parser of the HTTP library let through. The C and the Python parser are lenient in different ways, and treat names that they know (Connection, Content-Length) otherwise than unknown ones. The C parser also misreads a valid response: after `Transfer-Encoding: chunked` with a blank behind it, the sizes of the chunks became part of the body.

sessions.ResponseNormalizer now decides what a response may be: h11 reads it, what h11 leaves to its callers is checked beside it, and the parser gets the response as it is written anew, so that it has one reading. All sessions use it: requests, reports, health checks and orders to runners, requests relayed to other nodes, the store, and the services of the own interface. What an invalid response means is decided where it was before: it is an error after which the request may have run, so an unsafe request is not sent again, a refusal is not believed, a stream is resumed if it may be, and an order may have been accepted (one with status 000 counted as refused). The connection ends. The runner counts as reached, so that its responses are no evidence against the links.

The limit of interim responses and the end of a connection on which something follows a response move there too. With the Python parser such a connection was used again.

--- a/plantainway/platform/_upstreams.py
+++ b/plantainway/platform/_upstreams.py
@@ -339,6 +339,7 @@
                 'report',
                 upstream.name,
                 refused=_is_refused(exc),
+                answered=isinstance(exc, sessions.InvalidResponseError),
             )
         if resp.status != 200:
             raise errors.UpstreamError(
@@ -388,6 +389,8 @@
                     headers={_names.EXPECT_UPSTREAM: upstream.name},
                 ):
                     return True
+        except sessions.InvalidResponseError:
+            return True
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import threading
 import time
 import types
@@ -11,6 +12,7 @@
 from websockets import exceptions as ws_exceptions
 from websockets.sync import client as sync_client
 from websockets.sync import server as sync_server
+from websockets import utils as ws_utils
 
 from plantainway import bus
 from plantainway import clock as clocks
@@ -19,6 +21,7 @@
 from plantainway.peers import _registry
 from plantainway.peers import _task
 from plantainway import wire
+from tests import responses
 
 HELLO_S = 0.05
 TIMEOUT_S = 0.3
@@ -232,3 +235,42 @@
         assert len(accepted) == 1
         await asyncio.to_thread(peer.shutdown)  # the node takes part
         thread.join()
+
+
+@pytest.mark.parametrize(
+    'first, fields, is_linked',
+    [
+        ('HTTP/1.1 101 X', [], True),
+        ('HTTP/1.1 000 X', [], False),
+        ('HTTP/1.1 101 X', ['X-Other : 2'], False),
+        ('HTTP/1.1 101 X', ['X-Other x: 2'], False),
+        ('HTTP/1.1 101 X', ['X-Other\x01: 2'], False),
+        ('HTTP/1.1 101 X', ['X-Other: a\x01b'], False),
+        ('HTTP/1.1 101 X', ['Connection : upgrade'], False),
+        ('HTTP/1.1 101 X', ['Upgrade\x01: websocket'], False),
+    ],
+)
+async def test_node_with_a_broken_handshake_is_not_linked(
+    first, fields, is_linked
+):
+    """The library validates the response to its handshake."""
+    async with responses.RawServer(b'') as server:
+        server.answer = lambda head: responses.response(
+            first,
+            'Connection: upgrade',
+            'Upgrade: websocket',
+            f'Sec-WebSocket-Accept: {_accept_key(head)}',
+            *fields,
+            body='',
+        ).replace(b'{fields}\r\n', b'')
+        connecting = ws_client.connect(f'ws://{server.address}', proxy=None)
+        if is_linked:
+            (await connecting).transport.abort()
+            return
+        with pytest.raises(ws_exceptions.WebSocketException):
+            await connecting
+
+
+def _accept_key(head: bytes) -> str:
+    found = re.search(rb'(?i)sec-websocket-key: *(\S+)', head)
+    return ws_utils.accept_key(found.group(1).decode())
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 
 from plantainway import edge
+from plantainway import platform
 from tests.platform import runner_standin
 from tests.platform import store_standin
 
@@ -186,6 +187,16 @@
         yield session
 
 
+@pytest.fixture
+async def sessions():
+    """A session that reuses connections and one that does not."""
+    async with platform.new_session() as pooled:
+        async with platform.new_session(
+            connection_per_request=True
+        ) as unpooled:
+            yield pooled, unpooled
+
+
 class ClientResponse:
     """Response that a client received; ``is_whole`` is false if truncated."""
 
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -31,16 +31,6 @@
     await found.stop()
 
 
-@pytest.fixture
-async def sessions():
-    """A session that reuses connections and one that does not."""
-    async with platform.new_session() as pooled:
-        async with platform.new_session(
-            connection_per_request=True
-        ) as unpooled:
-            yield pooled, unpooled
-
-
 async def _send(client, upstream):
     req = traffic.Request(
         'r',
