Test invalid heads of answers that are whole otherwise

The rows for the store and for reports had a body that is no JSON, so they held before responses were validated, whatever their heads were: they showed nothing of them. They stay, and rows with the bodies that the store and runners send are added, with a valid one to compare. New as well: answers of another node at its client, values with control bytes and folded lines, and an invalid answer to the run that goes on with a stream.

--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -106,7 +106,7 @@
     stays idle (``silent``) or gets one byte of an event every ``DRIP_S``
     (``drip``). Events come every ``event_s``; ``silence_s`` is how long a
     stream stays silent after ``silent_after`` events, before it goes on.
-    ``raw`` and ``broken`` go before all of these. Prompts are read one after
+    ``broken``, then ``raw`` go before all of these. Prompts are read one after
     the other, each for ``prefill_s``.
     A complete plain answer comes after ``answer_s``.
     The runner crashes when it is about to send the first event of a request
@@ -383,13 +383,13 @@
         headers = self._named(headers)
         answer_mode = self.faults.answer
         raw, broken = self.faults.raw, self.faults.broken
-        if raw is not None and raw.remaining > 0:
+        if broken is not None and broken.remaining > 0:
+            broken.remaining -= 1
+            await self._send_broken(writer, seen, headers, broken)
+        elif raw is not None and raw.remaining > 0:
             raw.remaining -= 1
             writer.write(responses.fill(raw.data, *headers, *raw.fields))
             await self._wait_for_close(reader, seen)
-        elif broken is not None and broken.remaining > 0:
-            broken.remaining -= 1
-            await self._send_broken(writer, seen, headers, broken)
         elif self._crashes_on(seen):
             await asyncio.sleep(EVENT_S)
             self._crash()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -30,6 +30,8 @@
     "'Connection\\x01: 2'",
     "'Content-Length\\x01: 2'",
     'only length with a blank',
+    "X-Other: 'a\\x01b'",
+    "X-Other: 'a\\r\\n b'",
 ]
 CHUNKS = [
     repr(body)
@@ -186,6 +188,40 @@
     assert len(_seen(runners)) == (2 if status == 200 else 1)
 
 
+@pytest.mark.parametrize('path', ['/safe/x', '/unsafe/x', '/stream/x'])
+@pytest.mark.parametrize('name', HEADS)
+async def test_broken_answer_of_another_node_is_not_passed_on(
+    node, client, monkeypatch, name, path
+):
+    """Its request may have run there."""
+    fields = (('Request-Id', 'r-1'), ('Server-Stamp', 's'))
+    data = responses.fill(responses.BROKEN[name], *fields)
+    async with responses.RawServer(data) as server:
+        peer = types.SimpleNamespace(
+            node='n2', relay=server.address, weight=1.0
+        )
+        relay = node._gateway._deps.relay
+        monkeypatch.setattr(relay, '_nodes', lambda: [peer])
+        monkeypatch.setattr(relay, 'is_needed', lambda req, unreached=0: True)
+        got = await conftest.send_request(client, node, path, **STREAM)
+        assert (got.status, 'Server-Stamp' in got.headers) == (502, False)
+        assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize('name', HEADS)
+async def test_broken_answer_does_not_end_a_stream_that_has_begun(
+    node, runners, client, name
+):
+    """The run that was to go on with it breaks off."""
+    _break_answers(runners, name)
+    broken = runner_standin.BrokenAnswer('chunks', 'between', 'reset')
+    for runner in runners.values():
+        runner.faults.broken = broken
+    got = await conftest.send_request(client, node, '/stream/x', **STREAM)
+    assert (got.status, got.is_whole) == (200, False)
+    assert got.body == runner_standin.event(1)
+
+
 # Calls of a node.
 
 
@@ -268,6 +304,61 @@
     assert found.value.sent
 
 
+# Each would be valid but for its head.
+LINES = [
+    ('HTTP/1.1 200 X', (), True),
+    ('HTTP/1.1 000 X', (), False),
+    ('HTTP/1.1 200 X', ('X-Other : 2',), False),
+    ('HTTP/1.1 200 X', ('X-Other\x01: 2',), False),
+    ('HTTP/1.1 200 X', ('X-Other: a\x01b',), False),
+    ('HTTP/1.1 200 X', ('X-Other: a\r\n b',), False),
+    ('HTTP/1.1 200 X', ('Connection : 2',), False),
+    ('HTTP/1.1 200 X', ('Connection x: 2',), False),
+    ('HTTP/1.1 200 X', ('Connection: a\x01b',), False),
+]
+
+
+@pytest.mark.parametrize('first, lines, is_valid', LINES)
+async def test_only_valid_answers_of_the_store_are_believed(
+    parser, sessions, first, lines, is_valid
+):
+    """A transaction with another answer may have been committed."""
+    body = '{"rows": [], "ver": 5}'
+    length = f'Content-Length: {len(body)}'
+    data = responses.response(first, length, *lines, body=body)
+    async with responses.RawServer(responses.fill(data)) as server:
+        store = platform.PlatformStore(server.address, sessions[0])
+        txn = stores.Transaction('t', (), (stores.Write('k', 1),))
+        outcome = (await store.commit(txn)).outcome
+        if is_valid:
+            assert outcome is stores.Outcome.COMMITTED
+            assert (await store.snapshot('servers')).version == 5
+            return
+        assert outcome is stores.Outcome.UNKNOWN
+        for call in (store.snapshot('t'), store.changes('t', 1, 0.1)):
+            with pytest.raises(errors.StoreUnavailableError):
+                await call
+
+
+@pytest.mark.parametrize('first, lines, is_valid', LINES)
+async def test_only_valid_reports_are_believed(
+    parser, sessions, first, lines, is_valid
+):
+    """Another one is an error of an answer."""
+    body = '{"phase": "both", "models": [], "queued": 2, "active": 1}'
+    length = f'Content-Length: {len(body)}'
+    data = responses.response(first, length, *lines, body=body)
+    async with responses.RawServer(responses.fill(data)) as server:
+        client = platform.RunnerClient(*sessions, CLOCK)
+        upstream = _upstream(server.address)
+        if is_valid:
+            assert (await client.report(upstream)).queued == 2
+            return
+        with pytest.raises(errors.UpstreamError) as found:
+            await client.report(upstream)
+        assert found.value.answered
+
+
 async def test_broken_answer_of_the_store_is_an_error(
     parser, server, sessions
 ):
