Review case 12: a join for the open head of another group

Cause: a follower's cache takes updates relayed by a leader that is itself cut off from the store for answers of the store, so a node that takes over near the end of an outage does not wait for the entries to settle.

--- a/review/12/run.py
+++ b/review/12/run.py
@@ -1,106 +1,206 @@
-"""A stop of a node while clients read their answers slowly."""
+"""The leader is killed near the end of an outage of the store."""
 
 import asyncio
+import base64
+import contextlib
 import pathlib
+import random
 import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common-3'))
 
+import engines  # noqa: E402
 import standins  # noqa: E402
 
-ANSWER_BYTES = 400_000
-READ_BYTES_PER_S = 200_000
-CLIENTS = 4
-SENT_S = 2.9  # after SIGTERM; within three times the directory's TTL
-DEADLINE_MS = 2500
-
-
-async def ask_slowly(address, name, record):
-    """Returns how an answer that is read slowly ends, and after how long."""
-    loop = asyncio.get_running_loop()
-    conn = await standins.Connection.open(address, 4096, limit=4096)
-    began_at = loop.time()
-    conn.send(
-        'GET', '/lookup/catalogue', standins.request_fields(name, DEADLINE_MS)
-    )
-    record.line(f'client sends {name}')
-    try:
-        first, fields = await standins.read_head(conn.reader)
-        length = int(fields['content-length'])
-        got = 0
-        while got < length:
-            data = await conn.reader.read(READ_BYTES_PER_S // 50)
-            if not data:
-                break
-            got += len(data)
-            await asyncio.sleep(
-                max(began_at + got / READ_BYTES_PER_S - loop.time(), 0)
-            )
-        end = 'complete' if got == length else 'cut'
-    except (OSError, asyncio.IncompleteReadError) as exc:
-        first, got, length, end = 'none', 0, 0, f'cut ({exc!r})'
-    took_s = loop.time() - began_at
-    conn.close()
-    record.line(
-        f'client got {name}: {first} {got} of {length} bytes, {end}, '
-        f'after {took_s:.2f} s'
-    )
-    return end, took_s
+NODES = 8
+ENGINES = 8
+ROUNDS = 6
+CALM_S = 6.0  # before each outage
+CRASH_AFTER_S = 1.5  # of the outage
+OUTAGE_MAX_S = 8.0
+KILL_TO_RETURN_S = 0.25
+# The runners reach the store again this long after its return. The pages have
+# lapsed entries back within about two seconds of it.
+RUNNERS_BACK_S = 1.5
+NODE_RESTART_S = 1.0
+ENGINE_RESTART_S = 4.5
 
 
-async def case(record, temporary, has_trouble):
-    store = standins.Store()
-    await store.start()
-    nodes = []
-    try:
-        runners = [
-            standins.Runner(f'i-{n}', 'ledger', store, record)
-            for n in range(3)
+class World:
+    """The nodes, engines and clients of the case."""
+
+    def __init__(self, record, temporary):
+        self.record = record
+        self.temporary = temporary
+        self.store = standins.Store()
+        self.store.hold_tx = self._note_writer
+        self.writer = ''  # node that last wrote to the store on a condition
+        self.breaches = []
+        self.engines = [
+            engines.Engine(f'e-{n}', 'models', self.store, record)
+            for n in range(ENGINES)
         ]
-        for runner in runners:
-            runner.body_of = lambda _name: b'x' * ANSWER_BYTES
-            await runner.start()
-        store.put(
+        self.nodes = []
+        self.tasks = []
+
+    def _note_writer(self, call):
+        for node in self.nodes:
+            for put in call.get('puts', ()):
+                value = base64.b64decode(put['value']).decode()
+                if f'"{node.name}/' in value and call.get('expectedRev'):
+                    self.writer = node.name
+        return None
+
+    async def start(self):
+        await self.store.start()
+        fleet = {one.name: one for one in self.engines}
+        began_at = time.monotonic()
+        for number, engine in enumerate(self.engines):
+            engine.fleet, engine.breaches = fleet, self.breaches
+            engine.beats_at = began_at + number * 0.15
+            await engine.start()
+            self.tasks.append(asyncio.ensure_future(engine.beat()))
+        route = standins.route(
+            'answer',
+            '/answer/',
+            'models',
+            'stream',
+            resumable=True,
+            sticky=True,
+            timeoutMs=6000,
+            sloMs=300,
+            gapTargetMs=200,
+            priority=1,
+        )
+        self.store.put(
             'op',
             'config',
-            standins.configuration(
-                5,
-                [standins.route('lookup', '/lookup/', 'ledger', 'safe')],
-                [standins.plain_service('ledger')],
-            ),
+            standins.configuration(5, [route], [engines.service('models')]),
         )
-        for number in range(2):
+        for number in range(NODES):
             node = standins.Node(
-                f"edge-{number}", store.address, temporary, record, "/tmp/d"
+                f'edge-{number}',
+                self.store.address,
+                self.temporary,
+                self.record,
+                self.temporary,
             )
-            nodes.append(node)
+            self.nodes.append(node)
             await node.start()
-        for node in nodes:
+        for node in self.nodes:
             await node.until_ready()
-        await asyncio.sleep(4.0)  # calm before the stop
-        if has_trouble:
-            nodes[0].signal(signal.SIGTERM)
-        await asyncio.sleep(SENT_S)
-        ends = await asyncio.gather(
-            *(
-                ask_slowly(nodes[0].caller, f'request-{n}', record)
-                for n in range(CLIENTS)
+        await engines.until_open(self.engines)
+        self.tasks.append(asyncio.ensure_future(self._send_streams()))
+
+    async def _send_streams(self):
+        rng = random.Random(1)
+        number = 0
+        pending = set()
+        while True:
+            number += 1
+            task = asyncio.ensure_future(
+                self._stream(f'stream-{number}', rng.choice(self.nodes))
             )
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+            await asyncio.sleep(0.25)
+
+    async def _stream(self, name, node):
+        if node.proc.returncode is not None:
+            return
+        try:
+            async with asyncio.timeout(6):
+                conn = await standins.Connection.open(node.caller)
+                status, _fields, body = await conn.ask(
+                    'POST', '/answer/stock', engines.stream_fields(name), b'{}'
+                )
+                conn.close()
+            end = f'status {status}, {body.count(b"id:")} events'
+        except (OSError, ValueError, asyncio.IncompleteReadError) as exc:
+            end = type(exc).__name__
+        self.record.line(f'client got for {name} at {node.name}: {end}')
+
+    def _open_groups(self):
+        return [
+            one
+            for one in self.engines
+            if one.group and one.group['state'] == 'open'
+        ]
+
+    async def _until(self, condition, timeout_s):
+        until = time.monotonic() + timeout_s
+        while time.monotonic() < until:
+            found = condition()
+            if found:
+                return found
+            await asyncio.sleep(0.01)
+        return None
+
+    async def outage(self, number):
+        """Plays one outage and, unless it ends late, a kill of the leader."""
+        heads = {one.group['name']: one for one in self._open_groups()}
+        store, record = self.store, self.record
+        store.mode = 'busy'
+        began_at = time.monotonic()
+        record.line(f'outage {number} of the store begins')
+        await asyncio.sleep(CRASH_AFTER_S)
+        head = max(heads.values(), key=lambda one: one.group['epoch'])
+        victim = head.fleet[head.members[1]]
+        record.line(f'runner {victim.name} of {head.group["name"]} crashes')
+        victim.crash()
+        left_s = began_at + OUTAGE_MAX_S - 0.5 - time.monotonic()
+        opened = await self._until(
+            lambda: [
+                one
+                for one in self._open_groups()
+                if one.group['name'] not in heads
+            ],
+            left_s,
         )
-        if has_trouble:
-            status = await asyncio.wait_for(nodes[0].proc.wait(), 10)
-            record.line(f'node edge-0 has ended with status {status}')
-    finally:
-        for node in nodes:
+        node = next(one for one in self.nodes if one.name == self.writer)
+        is_killed = bool(opened)
+        if is_killed:
+            node.signal(signal.SIGKILL)
+        await asyncio.sleep(KILL_TO_RETURN_S)
+        store.mode = ''
+        ended_at = time.monotonic()
+        for one in self.engines:
+            one.writes_from = ended_at + RUNNERS_BACK_S
+        record.line(f'outage {number} ends after {ended_at - began_at:.2f} s')
+        await asyncio.sleep(NODE_RESTART_S - KILL_TO_RETURN_S)
+        if is_killed:
+            await node.proc.wait()
+            await node.start()
+        await asyncio.sleep(ENGINE_RESTART_S)
+        await victim.restart()
+
+    async def end(self):
+        for task in self.tasks:
+            task.cancel()
+        for node in self.nodes:
             await node.end()
-        store.stop()
-    return [
-        f'LOST: request-{n} {end} after {took_s:.2f} s, before its deadline'
-        for n, (end, took_s) in enumerate(ends)
-        if end != 'complete' and took_s < DEADLINE_MS / 1000
-    ]
+        self.store.stop()
+        for engine in self.engines:
+            engine.crash()
+
+
+async def case(record, temporary, has_trouble):
+    world = World(record, temporary)
+    try:
+        await world.start()
+        for number in range(ROUNDS):
+            await asyncio.sleep(CALM_S)
+            if has_trouble:
+                await world.outage(number)
+                if world.breaches:
+                    break
+    finally:
+        with contextlib.suppress(RuntimeError):
+            await world.end()
+    return world.breaches
 
 
 standins.main(case, FOLDER)
--- a/review/common-3/engines.py
+++ b/review/common-3/engines.py
@@ -55,7 +55,15 @@
 
 
 class Engine(standins.Runner):
-    """A model runner; ``event_s`` is the time between events of a stream."""
+    """A model runner; ``event_s`` is the time between events of a stream.
+
+    With ``beats_at``, a time in seconds, its entry is written every
+    ``heartbeat_s`` at times that this one is among, and whenever it changes;
+    while the store is away no writing succeeds. ``fleet`` are all runners by
+    name; ``breaches`` gets a text for each join that rule TWO forbids.
+    """
+
+    heartbeat_s = 1.2
 
     def __init__(self, name, service_name, store, record, event_s=0.03):
         super().__init__(name, service_name, store, record)
@@ -66,8 +74,40 @@
         self.last_model = ''
         self.seq = 0
         self.newest_epoch = 0
+        self.fleet = {}
+        self.breaches = []
+        self.beats_at = None
+        self.writes_from = 0.0  # it reaches the store from then on
+        self.is_down = False
         self._tasks = set()
 
+    async def beat(self) -> None:
+        """Writes the entry at each heartbeat until cancelled."""
+        while True:
+            now = time.monotonic()
+            periods = (now - self.beats_at) // self.heartbeat_s + 1
+            until = self.beats_at + periods * self.heartbeat_s
+            if now < self.writes_from:
+                until = min(until, self.writes_from)
+            await asyncio.sleep(until - now)
+            self.write_entry()
+
+    def crash(self) -> None:
+        """Ends all connections and forgets everything but staged weights."""
+        self.is_down = True
+        self.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        self.group, self.members, self.seq = None, [], 0
+        self.newest_epoch, self.last_model = 0, ''
+
+    async def restart(self) -> None:
+        """Starts again at its address, as another incarnation."""
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        await standins.Server.start(self, int(self.address.split(':')[1]))
+        self.is_down = False
+        self.write_entry()
+
     def entry(self, state='ready') -> dict:
         found = super().entry(state) | {
             'slots': 13,
@@ -85,7 +125,29 @@
         return {'group': self.group, 'models': models if shows else []}
 
     def write_entry(self) -> None:
-        self.store.put('servers', self.name, self.entry())
+        is_cut = time.monotonic() < self.writes_from
+        if not self.store.mode and not is_cut and not self.is_down:
+            self.store.put('servers', self.name, self.entry())
+
+    def _check_join(self, order) -> None:
+        """Records a join of another group while its group is served."""
+        own = self.group
+        if own is None or own['name'] == order['group']:
+            return
+        head = self.fleet.get(self.members[0])
+        if head is None or head.is_down or head.group is None:
+            return
+        if head.group['name'] == own['name'] and head.group['state'] in (
+            'open',
+            'closing',
+        ):
+            text = (
+                f'TWO: {self.name} takes a join of {order["group"]} while '
+                f'{own["name"]}, which it has not left, is '
+                f'{head.group["state"]} at its head {head.name}'
+            )
+            self.record.line(text)
+            self.breaches.append(text)
 
     async def handle(self, method, target, fields, body, reader, writer):
         is_own = fields.get('expect-instance', self.name) == self.name
@@ -128,6 +190,7 @@
         if op == 'join':
             if epoch < self.newest_epoch:
                 return 412
+            self._check_join(order)
             self.newest_epoch = epoch
             self.members = order['members']
             self.group = {
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -318,21 +319,28 @@
 # Nodes.
 
 
+_ports_taken: set[int] = set()
+
+
 def free_ports(count: int, host: str = HOST) -> list[int]:
-    """Returns free ports, the first ones next to each other in pairs."""
+    """Returns free ports, in pairs of neighbours.
+
+    They are below those that the system gives to outgoing connections.
+    """
     found = []
     while len(found) < count:
+        port = random.randrange(12000, 32000, 2)
+        if port in _ports_taken:
+            continue
         with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((host, 0))
-            port = first.getsockname()[1]
             try:
-                second = stack.enter_context(socket.socket())
-                second.bind((host, port + 1))
-            except (OSError, OverflowError):
+                for one in (port, port + 1):
+                    sock = stack.enter_context(socket.socket())
+                    sock.bind((host, one))
+            except OSError:
                 continue
-            if not {port, port + 1} & set(found):
-                found += [port, port + 1]
+        _ports_taken.add(port)
+        found += [port, port + 1]
     return found
 
 
