--- a/review/12/run.py
+++ b/review/12/run.py
@@ -20,7 +20,7 @@
 ROUNDS = 6
 CALM_S = 6.0  # before each outage
 CRASH_AFTER_S = 1.5  # of the outage
-OUTAGE_MAX_S = 8.0
+OUTAGE_MAX_S = 4.5
 KILL_TO_RETURN_S = 0.25
 # The runners reach the store again this long after its return. The pages have
 # lapsed entries back within about two seconds of it.
