--- a/review/12/run.py
+++ b/review/12/run.py
@@ -203,4 +203,4 @@
     return world.breaches
 
 
-standins.main(case, FOLDER)
+standins.main(case, FOLDER / 'record.txt')
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -505,7 +505,7 @@
         'prefix': prefix,
         'service': service,
         'routeType': kind,
-        'timeoutMs': 2500,
+        'timeoutMs': 1200,
         'sloMs': 200,
         'priority': 2,
         'maxAttempts': 2,
@@ -539,13 +539,14 @@
     ]
 
 
-def main(case, folder) -> None:
+def main(case, path) -> None:
     """Plays a case and exits with 0 (held), 1 (broken) or 2 (no result).
 
-    ``case`` is a coroutine function of a record, a temporary folder and
-    whether there is a disruption; it returns the breaches as texts.
+    ``path`` is that of the record. ``case`` is a coroutine function of a
+    record, a temporary folder and whether there is a disruption; it returns
+    the breaches as texts.
     """
-    record = Record(pathlib.Path(folder) / 'record.txt')
+    record = Record(path)
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.line(f'disruption: {"yes" if has_trouble else "no"}')
     try:
