Count an outage of the store until its rows are current again

Callers saw streams cut off after an outage of the store in which the leader ended: the next leader closed or disbanded groups whose members were well.

Cause: a node that follows a leader reads the store itself once the relayed rows are 1.3 s old. In an outage this read fails, and TableCache counts an outage from then on. So the outage counted from the death of the leader only, and not at all if that was under 1 s. Entries that had expired in it were removed with the first reading, and their engines counted as draining, though the platform has such entries back within about 2 s.

An outage now ends with rows that were current after the failed read, whoever read them, and counts from when the rows were last known to be current, since a follower notices its beginning late.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -1035,6 +1035,13 @@
         'if False:',
         'tests/supply/test_control.py',
     ),
+    Mutant(
+        'rows from before a failed read do not end an outage',
+        'plantainway/cluster/_follower.py',
+        'if failing_since is None or as_of < failing_since:',
+        'if failing_since is None:',
+        'tests/cluster/test_follower.py',
+    ),
     Mutant(
         'a reserve of loads before the first request',
         'plantainway/supply/_pacing.py',
--- a/plantainway/cluster/_follower.py
+++ b/plantainway/cluster/_follower.py
@@ -73,6 +73,7 @@
         self.current_as_of = float('-inf')
         self._failing_since: float | None = None
         self._grace_until = float('-inf')
+        self._loaded_at = float('-inf')
         self._removal_due_at: dict[str, float] = {}
         self.on_change = []
 
@@ -86,9 +87,11 @@
         """Returns until when writers may still restore their rows.
 
         After an outage of the store rows are current as far as the store
-        goes, but may show what their writers knew before. Monotonic seconds.
+        goes, but may show what their writers knew before, or be missing. A
+        cache can't know whether the store was away before its first snapshot.
+        Monotonic seconds.
         """
-        return self._grace_until
+        return max(self._grace_until, self._loaded_at + REMOVAL_GRACE_S)
 
     def age_s(self) -> float:
         """Returns the seconds since the rows were last known to be current."""
@@ -109,9 +112,15 @@
     def record_failure(self) -> None:
         """Records that a read from the store failed.
 
-        This begins an outage. It ends with the next changes, or the next
-        snapshot that is not older than the rows, from the store or from the
-        leader. Failures for less than ``OUTAGE_MIN_S`` do not count.
+        This begins an outage, unless one is in progress. It ends with the
+        next changes, or the next snapshot that is not older than the rows,
+        that were current after this failure. Rows that the leader relays
+        while the store does not answer it either are older than that.
+
+        The outage counts from the time at which the rows were last known to
+        be current, as this node may have followed the leader until then
+        without reading the store. It does not count if it is shorter than
+        ``OUTAGE_MIN_S``.
         """
         if self._failing_since is None:
             self._failing_since = self._clock.now()
@@ -131,7 +140,9 @@
         if reading.version < self.version:
             self._add_missing(reading.rows)
             return
-        self._record_contact()
+        self._record_contact(as_of)
+        if not self.is_loaded:
+            self._loaded_at = self._clock.now()
         present = (
             set(keys)
             if keys is not None
@@ -154,7 +165,7 @@
             reading: Changed rows; a row without a value is removed.
             as_of: Monotonic seconds at which they were current.
         """
-        self._record_contact()
+        self._record_contact(as_of)
         if not self.is_loaded:
             return
         changed = {}
@@ -248,16 +259,25 @@
         self.revision += 1
         self._recent_changes.append((self.revision, [key], []))
 
-    def _record_contact(self) -> None:
-        now = self._clock.now()
+    def _record_contact(self, as_of: float) -> None:
+        """Ends an outage of the store if rows are current again.
+
+        Args:
+            as_of: Monotonic seconds at which the rows were current.
+        """
         failing_since = self._failing_since
+        if failing_since is None or as_of < failing_since:
+            return
         self._failing_since = None
-        if failing_since is not None and now - failing_since >= OUTAGE_MIN_S:
-            self._grace_until = now + REMOVAL_GRACE_S
+        if self.is_loaded:
+            failing_since = min(failing_since, self.current_as_of)
+        away_s = as_of - failing_since
+        if away_s >= OUTAGE_MIN_S:
+            self._grace_until = self._clock.now() + REMOVAL_GRACE_S
             logs.event(
                 'store_regained',
                 table=self.name,
-                away_ms=int((now - failing_since) * 1000),
+                away_ms=int(away_s * 1000),
             )
 
     def _update_rows(
--- a/tests/cluster/test_follower.py
+++ b/tests/cluster/test_follower.py
@@ -4,6 +4,7 @@
 
 from plantainway import clock as clocks
 from plantainway import cluster
+from plantainway.cluster import _follower
 from plantainway import stores
 
 
@@ -89,6 +90,52 @@
     assert 'a' not in table.rows
 
 
+@pytest.mark.parametrize(
+    'age_s, is_deferred',
+    [(0.1, False), (0.9, False), (2.0, True), (4.0, True)],
+)
+@pytest.mark.parametrize('is_snapshot', [True, False])
+def test_relayed_old_rows_do_not_end_an_outage(
+    table, clock, age_s, is_deferred, is_snapshot
+):
+    """A leader that the store does not answer either relays what it has.
+
+    An outage counted only from the end of that leader, so that entries which
+    had expired in the outage were dropped at once.
+    """
+    read_at = clock.now()
+    clock.advance(age_s)
+    table.record_failure()
+    for _update in range(3):  # of the leader
+        clock.advance(0.01)
+        if is_snapshot:
+            table.apply_snapshot(_reading(5), read_at, ['a'])
+        else:
+            table.apply_changes(_reading(5), read_at)
+    table.apply_changes(_reading(7, _row('a', None, 7)), clock.now())
+    assert ('a' in table.rows) is is_deferred
+
+
+def test_rows_read_after_the_failure_end_the_outage(table, clock):
+    """Whoever read them: the store answers."""
+    table.record_failure()
+    clock.advance(3.0)
+    table.apply_changes(_reading(6, _row('b', b'2', 6)), clock.now())
+    settles_at = table.settles_at
+    assert settles_at == clock.now() + _follower.REMOVAL_GRACE_S
+    clock.advance(3.0)
+    table.apply_changes(_reading(7, _row('b', b'3', 7)), clock.now())
+    assert table.settles_at == settles_at
+
+
+def test_first_snapshot_may_follow_an_outage(clock):
+    """Before it a cache has not seen whether the store was away."""
+    found = cluster.TableCache('t', clock, defers_removals=True)
+    clock.advance(5.0)
+    found.apply_snapshot(_reading(5), clock.now())
+    assert found.settles_at == clock.now() + _follower.REMOVAL_GRACE_S
+
+
 def test_changes_since_revision(table, clock):
     """Returns the changed rows and the removed keys after a revision."""
     start = table.revision
