Adopt groups by what their engines report

Cause: a new leader took entries for the state of the engines. The last leader goes on repairing groups through an outage, by the engines' reports, so its last orders are in no entry, and stay out of them until the engines reach the store again. Three conclusions from such entries led to the join: an engine was in a group that it had left, it was idle as it answered the order to leave that group with "already done", and another one was idle as its entry showed no group.

A new leader now requests a report of each engine 0.5 s into its term, late enough to show the last order, and adopts groups from these. A report replaces an entry that shows an earlier state, until the entry changes. An engine joins no group before it has answered in this term, after a restart, after an order to leave that was already done, and after its entry contradicted the group that it was formed into. An entry with a lower epoch than a report is older, whenever it was written. The wait for entries after an outage applies only while a group lacks a member whose entry may have expired. This rests on what engines say, so that it holds however late their entries are.

The fakes now answer an order to leave another group with "already done", as the platform's runners do. test_order_is_dropped_without_the_lease ran until the first tasks, which are the requests for reports now; it runs until groups are planned, so that it still ends the lease between planning and sending.

--- a/plantainway/supply/_adoption.py
+++ b/plantainway/supply/_adoption.py
@@ -23,18 +23,49 @@
         open or closing group the name of a missing member is empty. The
         model is empty if it is unknown.
     """
+    records = {}
+    for (name, epoch), members in _members_by_group(engines).items():
+        record = _adopt_group(name, epoch, members, profile, now)
+        if record is not None:
+            records[name] = record
+    return records
+
+
+def has_incomplete_groups(engines, profile) -> bool:
+    """Returns whether a group has no head, or is open and lacks a member.
+
+    The entry of the missing engine may have expired in an outage. Groups of
+    which no member answers are left out: their entries may be all that is
+    left of them.
+
+    Args:
+        engines: Engines by name.
+        profile: The engine profile.
+    """
+    for (name, epoch), members in _members_by_group(engines).items():
+        if not any(
+            engine.is_confirmed
+            and engine.reachability is _state.Reachability.ANSWERS
+            for engine in members
+        ):
+            continue
+        if all(engine.membership.rank for engine in members):
+            return True
+        record = _adopt_group(name, epoch, members, profile, 0.0)
+        if record is not None and not all(record.members):
+            return True
+    return False
+
+
+def _members_by_group(engines) -> dict[tuple[str, int], list]:
+    """Returns the members of each group but warm-ups, by name and epoch."""
     by_group: dict[tuple[str, int], list] = {}
     for engine in engines.values():
         member = engine.membership
         if member is not None and not _warming.is_warmup(member.group):
             key = (member.group, member.epoch)
             by_group.setdefault(key, []).append(engine)
-    records = {}
-    for (name, epoch), members in by_group.items():
-        record = _adopt_group(name, epoch, members, profile, now)
-        if record is not None:
-            records[name] = record
-    return records
+    return by_group
 
 
 def _adopt_group(name, epoch, members, profile, now: float):
--- a/plantainway/supply/_contacts.py
+++ b/plantainway/supply/_contacts.py
@@ -52,6 +52,7 @@
         self._removed: dict[str, tuple[float, deployment.Upstream]] = {}
         self._known_names: frozenset = frozenset()
         self._engine_counts: collections.deque = collections.deque()
+        self._confirmed_from = float('-inf')
         self.last_registered_at = clock.now()
 
     def refresh(self, as_of: float) -> dict[str, _state.EngineStatus]:
@@ -65,14 +66,29 @@
             as_of: Monotonic seconds at which the entries were current.
         """
         now = self._clock.now()
+        current = self._current_entries(now)
+        registered = frozenset(current.keys() - self._removed.keys())
+        if registered - self._known_names:
+            self.last_registered_at = now
+        self._known_names = registered
+        self._record_engine_count(len(registered), now)
+        statuses = {}
+        for name, item in current.items():
+            probe = self._probe_states.setdefault(name, _ProbeState())
+            statuses[name] = probe.status(
+                item, as_of, now, self._confirmed_from
+            )
+        return statuses
+
+    def _current_entries(self, now: float) -> dict[str, deployment.Upstream]:
+        """Returns the entries by name, with those that were just removed.
+
+        Forgets removed engines that have registered again or are due.
+        """
         current = {
             item.name: item
             for item in self._upstreams.find_by_service(self.service)
         }
-        if current.keys() - self._known_names:
-            self.last_registered_at = now
-        self._known_names = frozenset(current)
-        self._record_engine_count(len(current), now)
         for name in current:
             self._removed.pop(name, None)
         for name in [
@@ -84,14 +100,47 @@
             self._probe_states.pop(name, None)
         for name, (_until, item) in self._removed.items():
             current[name] = item
-        statuses = {}
-        for name, item in current.items():
-            probe = self._probe_states.get(name)
-            if probe is None:
-                statuses[name] = _state.EngineStatus(item)
-            else:
-                statuses[name] = probe.status(item, as_of, now)
-        return statuses
+        return current
+
+    def request_confirmations(self, since: float) -> bool:
+        """Probes the engines whose state must come from themselves.
+
+        Their entries may be older than the orders of an earlier leader. From
+        now on, only a report that was requested at ``since`` or later
+        confirms the state of an engine. Where the entry shows an earlier
+        state than that report, the report replaces it until it changes.
+
+        Args:
+            since: Monotonic seconds from which reports show the effect of
+                those orders.
+
+        Returns:
+            Whether each engine has confirmed its state or left a probe
+            unanswered. Call this again until it has.
+        """
+        self._confirmed_from = since
+        now = self._clock.now()
+        is_done = True
+        for name in self._current_entries(now):
+            probe = self._probe_states.setdefault(name, _ProbeState())
+            if not probe.has_ended_since(since):
+                is_done = False
+                probe.next_probe_at = now + PROBE_INTERVAL_S
+                self.start_probe(name)
+        return is_done
+
+    def require_confirmation(self, name: str) -> None:
+        """Probes an engine whose entry contradicts what is known of it.
+
+        It is unconfirmed until it has answered. The report replaces the entry
+        until that changes, unless the entry shows a later state.
+
+        Args:
+            name: Name of the engine.
+        """
+        probe = self._probe_states.setdefault(name, _ProbeState())
+        probe.confirmed_from = self._clock.now()
+        self.start_probe(name)
 
     def _record_engine_count(self, engines: int, now: float) -> None:
         if (
@@ -129,8 +178,8 @@
         """Starts the periodic probes whose interval has passed.
 
         Every ``PROBE_INTERVAL_S`` probes members of open groups, engines
-        that did not answer the last request for a report, and engines with
-        a pace above 1.0.
+        that did not answer the last request for a report, engines that have
+        not confirmed their state, and engines with a pace above 1.0.
 
         Args:
             members: Names of the members of open groups.
@@ -142,7 +191,14 @@
                 probe.next_probe_at = now + PROBE_INTERVAL_S
                 self.start_probe(name)
         for name, probe in self._probe_states.items():
-            needs_probe = probe.silent_since is not None or probe.pace > 1.0
+            needs_probe = (
+                probe.silent_since is not None
+                or probe.pace > 1.0
+                or (
+                    name in self._known_names
+                    and not probe.is_confirmed(self._confirmed_from)
+                )
+            )
             if needs_probe and now >= probe.next_probe_at:
                 probe.next_probe_at = now + PROBE_INTERVAL_S
                 self.start_probe(name)
@@ -178,6 +234,7 @@
 
     async def _probe(self, name: str, probe: '_ProbeState') -> None:
         opinion = None
+        begun_at = self._clock.now()
         try:
             for _attempt in range(SILENT_AFTER_FAILURES):
                 upstream = self.find(name)
@@ -208,10 +265,13 @@
                     return
                 if probe.is_lost:
                     logs.event('engine_regained', upstream=name)
-                probe.record_report(report, sent_at)
+                probe.record_report(
+                    report, sent_at, upstream, self._confirmed_from
+                )
                 return
         finally:
             probe.is_probing = False
+            probe.ended_probe_begun_at = begun_at
             if opinion is not None:
                 opinion.cancel()
 
@@ -284,6 +344,8 @@
         self.next_probe_at = 0.0
         self.next_poll_at = 0.0
         self.is_probing = False
+        self.ended_probe_begun_at = float('-inf')
+        self.confirmed_from = float('-inf')
         self.silent_since: float | None = None
         self.is_gone = False
         self.is_lost = False
@@ -301,28 +363,60 @@
             born: The ``started_ms`` of the current incarnation.
         """
         if born != self.born:
+            if self.born:
+                self.next_probe_at = 0.0  # it has yet to confirm its state
             self.born = born
             self._report = None
             self._superseded_entry = None
             self.pace = 1.0
             self._reset_failures()
 
+    def has_ended_since(self, since: float) -> bool:
+        """Returns whether a probe that began at a time or later has ended.
+
+        Args:
+            since: Monotonic seconds.
+        """
+        return self.ended_probe_begun_at >= since
+
+    def is_confirmed(self, since: float) -> bool:
+        """Returns whether a report confirms the state of the engine.
+
+        Args:
+            since: Monotonic seconds from which reports count.
+        """
+        return self._report is not None and (
+            self._report_requested_at >= max(since, self.confirmed_from)
+        )
+
     @property
     def is_silent(self) -> bool:
         """Returns whether enough requests in a row have failed."""
         return self._failure_count >= SILENT_AFTER_FAILURES
 
-    def record_report(self, report, sent_at: float) -> None:
+    def record_report(self, report, sent_at: float, upstream, since: float):
         """Stores a report and clears earlier failures.
 
+        If it is the first one to confirm the state of the engine, the entry
+        is superseded unless it shows a later state.
+
         Args:
             report: The report.
             sent_at: Monotonic seconds at which the request was sent.
+            upstream: The entry at that time.
+            since: Monotonic seconds from which reports confirm the state.
         """
+        was_confirmed = self.is_confirmed(since)
         self.pace = report.slowdown
         self._report = report
         self._report_requested_at = sent_at
         self._reset_failures()
+        if (
+            not was_confirmed
+            and self.is_confirmed(since)
+            and not _is_later(upstream.membership, report.membership)
+        ):
+            self._superseded_entry = upstream
 
     def _reset_failures(self) -> None:
         self._failure_count = 0
@@ -346,8 +440,15 @@
         self._reset_failures()
         self.silent_since = silent_since
 
-    def status(self, upstream, as_of: float, now: float):
-        """Returns the status of the engine from its entry and probes."""
+    def status(self, upstream, as_of: float, now: float, since: float):
+        """Returns the status of the engine from its entry and probes.
+
+        Args:
+            upstream: The entry.
+            as_of: Monotonic seconds at which the entries were current.
+            now: Monotonic seconds.
+            since: Monotonic seconds from which reports confirm the state.
+        """
         self.reset_if_restarted(upstream.started_ms)
         upstream = self._newest_entry(upstream, as_of, now)
         if self.is_gone and self.is_lost:
@@ -359,23 +460,32 @@
                 upstream, _state.Reachability.SILENT, self.silent_since
             )
         return _state.EngineStatus(
-            upstream, pace=self.pace, is_probe_pending=self.is_probing
+            upstream,
+            pace=self.pace,
+            is_probe_pending=self.is_probing,
+            is_confirmed=self.is_confirmed(since),
         )
 
     def _newest_entry(self, upstream, as_of: float, now: float):
         """Returns the entry, updated from the last report if that is newer.
 
         The report is newer if its request was sent more than
-        ``REPORT_LAG_S`` after ``as_of``; the entry is then superseded. An
-        entry can be older than ``as_of``: one that expired in an outage
-        shows its old state until it is rewritten. So a superseded entry is
-        updated from the report until the entry changes, but at most until
-        ``REPORT_TTL_S`` after the request.
+        ``REPORT_LAG_S`` after ``as_of``; the entry is then superseded. It is
+        also newer if it shows a higher epoch, since an engine joins no group
+        with a lower epoch than that of its last one.
+
+        An entry can be older than ``as_of``: after an outage it shows its old
+        state until it is rewritten. So a superseded entry is updated from the
+        report until the entry changes, but at most until ``REPORT_TTL_S``
+        after the request.
         """
         report = self._report
         if report is None or report.started_ms not in (0, upstream.started_ms):
             return upstream
-        if self._report_requested_at - REPORT_LAG_S > as_of:
+        has_older_epoch = (
+            0 < _epoch(upstream.membership) < _epoch(report.membership)
+        )
+        if has_older_epoch or self._report_requested_at - REPORT_LAG_S > as_of:
             self._superseded_entry = upstream
         elif (
             self._superseded_entry != upstream
@@ -385,3 +495,23 @@
         return dataclasses.replace(
             upstream, staged=report.staged, membership=report.membership
         )
+
+
+def _epoch(member) -> int:
+    """Returns the epoch of a membership, 0 outside of a group."""
+    return member.epoch if member is not None else 0
+
+
+def _is_later(member, other) -> bool:
+    """Returns whether one membership of an engine follows another one.
+
+    The other one comes from a report, which lags behind the engine: it may
+    still be joining where its entry shows that it has joined.
+
+    Args:
+        member: Membership in the entry.
+        other: Membership in the report.
+    """
+    if _epoch(member) != _epoch(other):
+        return _epoch(member) > _epoch(other) > 0
+    return other is not None and (other.state is deployment.GroupState.JOINING)
--- a/plantainway/supply/_control.py
+++ b/plantainway/supply/_control.py
@@ -23,7 +23,8 @@
 PLAN_INTERVAL_S = 0.1  # short beside a repair, which takes 1.4 s or more
 # Twice the age that the leader's entries reach while the store answers.
 STALE_ENTRIES_S = 1.2
-ENTRY_LAG_S = 0.5  # entries show an opened head within this time
+# Entries show an opened head within this time, and so do reports.
+ENTRY_LAG_S = 0.5
 # Engines that start together register at shorter intervals than this.
 REGISTRATION_GAP_S = 1.0
 NO_DOMAIN = ''  # for groups whose members are all gone
@@ -53,7 +54,7 @@
         current_as_of: Function that returns the monotonic time at which the
             upstream book was last known to be current.
         settles_at: Function that returns the monotonic time until which
-            entries may still show their state from before an outage.
+            entries that expired in an outage may be missing.
         witness: Confirms that an engine is lost; by default this node's own
             evidence suffices.
 
@@ -163,12 +164,11 @@
         """
         return self._engines.is_gone(name, started_ms)
 
-    def _adopt(self, now: float) -> None:
+    def _adopt(self, engines, now: float) -> None:
         """Replaces groups and warm-ups by those that the engines report.
 
         Also drops the releases and the newly opened heads of earlier terms.
         """
-        engines = self._engines.refresh(self._current_as_of())
         self.head_overrides.clear_opened()
         self._releases.clear()
         self._warmups.adopt(engines, now + self._pacer.longest_load_s())
@@ -188,14 +188,20 @@
             term=self._term,
             open=len(self._groups),
             engines=len(engines),
+            unconfirmed=sum(
+                engine.reachability is not _state.Reachability.ANSWERS
+                or not engine.is_confirmed
+                for engine in engines.values()
+            ),
+            waited_ms=int((now - self._pending_term_since) * 1000),
         )
 
     def tick(self) -> None:
         """Plans once and starts to send the resulting orders and probes.
 
         At the start of a term it first adopts the existing groups, as soon
-        as the entries are recent enough, and plans nothing before that. Does
-        nothing without a profile or without the lease.
+        as the engines have confirmed their state, and plans nothing before
+        that. Does nothing without a profile or without the lease.
         """
         if self.profile is None or not self._leadership.is_leader():
             return
@@ -239,9 +245,11 @@
     def _begin_term(self, now: float) -> bool:
         """Adopts the existing groups when a new term begins.
 
-        Does so only once the entries are recent enough to show the effect
-        of the last leader's orders. It may have led through an outage of the
-        store, after which engines take some time to write theirs.
+        Entries may be older than the last leader's orders: it may have led
+        through an outage of the store, which this node need not have seen.
+        So each engine is asked for its state before that, late enough for
+        the report to show the effect of the last order. Entries that expired
+        in an outage are waited for if a group lacks a member.
 
         Returns:
             Whether the groups of this term have been adopted.
@@ -251,13 +259,19 @@
         if self._pending_term != self._leadership.term:
             self._pending_term = self._leadership.term
             self._pending_term_since = now
-        if self._current_as_of() < self._pending_term_since + ENTRY_LAG_S:
+        since = self._pending_term_since + ENTRY_LAG_S
+        if now < since or not self._engines.request_confirmations(since):
+            return False
+        if self._current_as_of() < since:
             return False
-        if now < self._settles_at():
+        engines = self._engines.refresh(self._current_as_of())
+        if now < self._settles_at() and _adoption.has_incomplete_groups(
+            engines, self.profile
+        ):
             return False
         self._term = self._leadership.term
         self._epochs_used = 0
-        self._adopt(now)
+        self._adopt(engines, now)
         return True
 
     def _repair_groups(self, engines, now: float) -> bool:
@@ -558,6 +572,9 @@
                 continue
             if engine.member_key == (name, record.name, record.epoch):
                 self._releases.begin(engine)
+            else:
+                # Only its own report shows that it is not in the group.
+                self._engines.require_confirmation(name)
 
     def _start_order(self, order) -> None:
         self._spawn(self._send_order(order))
@@ -587,6 +604,9 @@
         if outcome.status is _orders.OrderStatus.UNKNOWN:
             self._engines.start_probe(order.upstream)
         elif order.kind is _Kind.LEAVE and outcome.has_effect:
+            if outcome.status is _orders.OrderStatus.HOLDS:
+                # It may be in another group, unknown here.
+                self._engines.require_confirmation(order.upstream)
             self._releases.record_left(order)
 
     async def run(self) -> None:
--- a/plantainway/supply/_plan.py
+++ b/plantainway/supply/_plan.py
@@ -116,6 +116,7 @@
         if engine.is_usable
         and not engine.is_slow
         and not engine.is_probe_pending
+        and engine.is_confirmed
         and name not in taken
         and name not in view.busy
         and (
--- a/plantainway/supply/_state.py
+++ b/plantainway/supply/_state.py
@@ -26,7 +26,9 @@
     report in monotonic seconds, ``None`` unless the engine is silent or
     gone. ``pace`` is the slowdown that the engine reports, 1.0 at its usual
     speed. ``is_probe_pending`` is set while a probe waits for its answer.
-    Both keep their defaults for an engine that is silent or gone.
+    ``is_confirmed`` is false while the state is known only from an entry that
+    may be older than orders which the engine has carried out. All three keep
+    their defaults for an engine that is silent or gone.
     """
 
     upstream: deployment.Upstream
@@ -34,6 +36,7 @@
     silent_since: float | None = None
     pace: float = 1.0
     is_probe_pending: bool = False
+    is_confirmed: bool = True
 
     @property
     def name(self) -> str:
--- a/tests/platform/runner_standin.py
+++ b/tests/platform/runner_standin.py
@@ -159,6 +159,7 @@
         self.staged: list[str] = []
         self.group: dict | None = None
         self.seq = 0
+        self.is_cut_from_store = False
         self.cold_left_ms = 0
         self.seen: list[ReceivedRequest] = []
         self.ran: list[str] = []  # ids of requests that a refusal denies
@@ -217,6 +218,11 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    @property
+    def is_running(self) -> bool:
+        """Returns whether it listens."""
+        return self._server is not None and self._server.is_serving()
+
     def reset_connections(self, source: str, if_silent=False) -> None:
         """Resets the connections from an address.
 
@@ -244,7 +250,7 @@
         Args:
             state: ``ready`` or ``draining``.
         """
-        if self.store is None:
+        if self.store is None or self.is_cut_from_store:
             return
         entry = {
             'service': self.service,
@@ -349,7 +355,7 @@
                 name,
                 epoch,
             ):
-                return 409
+                return 200 if op == 'leave' else 409
             if op == 'open':
                 if own_group['rank'] != 0 or own_group['state'] != 'ready':
                     return 409
--- a/tests/supply/fake_engines.py
+++ b/tests/supply/fake_engines.py
@@ -32,6 +32,7 @@
     ready_at: float = 0.0
     newest_epoch: int = 0
     zone: str = 'a'
+    is_mute: bool = False  # carries out orders, but its reports are lost
 
     @property
     def membership(self) -> deployment.Membership | None:
@@ -57,6 +58,7 @@
         are_entries_old: Whether the store answers with entries that the
             engines have not written again yet.
         stolen_heads: Heads of open groups that were ordered to join others.
+        report_count: Number of reports requested so far.
         entry_ttl_s: Time that the entry of a dead engine stays, in seconds.
         load_ratio: Load time relative to the profile. At 1.0, loads beyond
             the concurrent ones of the profile make each other slower.
@@ -73,6 +75,7 @@
         self.is_store_down = False
         self.are_entries_old = False
         self.stolen_heads: list[str] = []
+        self.report_count = 0
         self.entry_ttl_s = 0.0
         self._last_seen_at: dict[str, float] = {}
         self.load_ratio = LOAD_RATIO_AT_START
@@ -107,6 +110,20 @@
         ]
         self.book.replace(entries, self.book.version + 1)
 
+    def show_old_entry(self, name: str, member) -> None:
+        """Replaces the entry of an engine by one from an earlier time.
+
+        Args:
+            name: Name of the engine.
+            member: Membership that the entry shows.
+        """
+        entry = self._entry(self.by_name[name])
+        self.book.apply(
+            [dataclasses.replace(entry, membership=member)],
+            [],
+            self.book.version + 1,
+        )
+
     def _entry(self, engine) -> deployment.Upstream:
         return deployment.Upstream(
             engine.name,
@@ -128,7 +145,8 @@
             upstream: The engine.
         """
         engine = self.by_name[upstream.name]
-        if engine.is_dead:
+        self.report_count += 1
+        if engine.is_dead or engine.is_mute:
             await asyncio.sleep(DEAD_ENGINE_TIMEOUT_S)
             raise errors.UpstreamError('silent', 'report', engine.name)
         entry = self._entry(engine)
@@ -156,6 +174,8 @@
         if order.kind is Kind.JOIN:
             return self._join(engine, order)
         if (engine.group, engine.epoch) != (order.group, order.epoch):
+            if order.kind is Kind.LEAVE:
+                return _orders.OrderOutcome(_orders.OrderStatus.HOLDS)
             return _orders.OrderOutcome(_orders.OrderStatus.REFUSED)
         if order.kind is Kind.LEAVE:
             engine.group, engine.state = '', State.NONE
--- a/tests/supply/test_adoption.py
+++ b/tests/supply/test_adoption.py
@@ -78,6 +78,34 @@
     assert not record.is_from_this_term
 
 
+@pytest.mark.parametrize(
+    'states, answering, is_incomplete',
+    [
+        ((OPEN, READY, READY, READY), 4, False),
+        ((OPEN, READY, READY, READY), 1, False),  # the others are silent
+        ((OPEN, READY, None, READY), 4, True),
+        ((OPEN, READY, None, READY), 0, False),
+        ((JOIN, JOIN, None, JOIN), 4, False),  # not adopted in any case
+        ((None, READY, READY, READY), 4, True),
+        ((None, READY, READY, READY), 0, False),
+    ],
+)
+def test_incomplete_groups(states, answering, is_incomplete):
+    """Only an engine that answers shows that its group still exists."""
+    engines = _ranks(states)
+    for number, engine in enumerate(engines):
+        if number >= answering:
+            engines[number] = dataclasses.replace(
+                engine, reachability=_state.Reachability.SILENT
+            )
+    assert (
+        _adoption.has_incomplete_groups(
+            _by_name(*engines), test_plan.make_profile()
+        )
+        is is_incomplete
+    )
+
+
 @pytest.mark.parametrize(
     'engine, known, orders',
     [
--- a/tests/supply/test_control.py
+++ b/tests/supply/test_control.py
@@ -8,6 +8,7 @@
 from plantainway import clock as clocks
 from plantainway import deployment
 from plantainway.supply import _control
+from plantainway.supply import _witness
 from tests.supply import fake_engines
 from tests.supply import test_plan
 
@@ -35,6 +36,7 @@
 
     def __init__(self, domains, step_s=STEP_S, profile=None):
         self.step_s = step_s
+        self.witness = None
         self.settles_at = float('-inf')
         self.clock = clocks.ManualClock()
         engines = [
@@ -60,6 +62,7 @@
             self._spawn,
             lambda: self.engines.as_of,
             lambda: self.settles_at,
+            self.witness,
         )
         self.control.configure(self.engines.profile)
 
@@ -101,6 +104,51 @@
                 return list(engine.members)
         return []
 
+    def open_head(self, model: str) -> fake_engines.Engine:
+        """Returns the live head of the only open group of a model."""
+        (found,) = [
+            engine
+            for engine in self.engines.by_name.values()
+            if engine.state is deployment.GroupState.OPEN
+            and engine.model == model
+            and not engine.is_dead
+        ]
+        return found
+
+    def memberships(self) -> dict:
+        """Returns the group and state of each live engine."""
+        return {
+            name: (engine.group, engine.state)
+            for name, engine in self.engines.by_name.items()
+            if not engine.is_dead
+        }
+
+    async def replace_member_in_outage(self, rank: int) -> None:
+        """Lets a member of the big model be replaced while the store is down.
+
+        Entries stay as they were when the outage began.
+        """
+        await self.run(8.0)
+        self.start_traffic()
+        self.engines.is_store_down = True
+        lost = self.members('big')[rank]
+        self.engines.by_name[lost].is_dead = True
+        self.control.probe_group(self.members('big')[0])
+        await self.run(5.0)
+
+    async def elect_with_old_entries(self, seconds: float) -> None:
+        """Elects a leader beside entries from before the outage.
+
+        Args:
+            seconds: Simulated seconds until the engines write theirs again.
+        """
+        self.elect_controller(term=self.lease.term + 1)
+        self.control.update_demand({'big': 1.0, 'small': 1.0})
+        self.engines.is_store_down = False
+        self.engines.are_entries_old = True
+        await self.run(seconds)
+        self.engines.are_entries_old = False
+
     @contextlib.contextmanager
     def unregistered(self, names):
         """Unregisters engines for the duration of the context."""
@@ -206,33 +254,184 @@
     assert harness.open_groups('big') == 1
 
 
-async def test_new_leader_steals_no_head_of_a_group_formed_in_an_outage():
-    """Entries are old for some time after the store has come back."""
+@pytest.mark.parametrize('rank', [0, 2])
+@pytest.mark.parametrize(
+    'outage_known_s, old_for_s, leaders',
+    [
+        (2.0, 1.5, 1),  # seen by the new leader
+        (None, 1.5, 1),  # not seen, as it had followed the last leader
+        (None, 4.0, 1),
+        (None, 1.0, 3),  # leaders that follow each other
+    ],
+)
+async def test_new_leader_takes_no_member_of_a_group_formed_in_an_outage(
+    rank, outage_known_s, old_for_s, leaders
+):
+    """Entries are old for some time after the store has come back.
+
+    A new leader took them for current ones, and ordered the head and the
+    members of an open group into another one.
+    """
+    harness = Harness({'d0': EMPTY})
+    await harness.replace_member_in_outage(rank)
+    formed = harness.memberships()
+    harness.open_head('big')
+    if outage_known_s is not None:
+        harness.settles_at = harness.clock.now() + outage_known_s
+    before = len(harness.engines.orders)
+    for _leader in range(leaders):
+        await harness.elect_with_old_entries(old_for_s)
+    await harness.run(3.0)
+    assert harness.engines.stolen_heads == []
+    assert harness.memberships() == formed
+    assert harness.engines.orders[before:] == []
+
+
+class _OtherNodes(_witness.BaseLossWitness):
+    """Nodes that reach all engines but those given as dead."""
+
+    def __init__(self, dead=()):
+        self.dead = set(dead)
+
+    async def is_lost(self, upstream) -> bool:
+        """Returns whether the engine is dead."""
+        return upstream.name in self.dead
+
+
+@pytest.mark.parametrize(
+    'witness', [None, _OtherNodes()], ids=['lost', 'reached']
+)
+async def test_engine_that_has_not_confirmed_its_state_joins_no_group(
+    witness,
+):
+    """Its entry shows it idle, but it is in a group formed in an outage."""
+    harness = Harness({'d0': EMPTY})
+    await harness.replace_member_in_outage(2)
+    member = harness.engines.by_name[harness.open_head('big').members[2]]
+    group = member.group
+    member.is_mute = True
+    harness.witness = witness
+    await harness.elect_with_old_entries(3.0)
+    assert member.group == group
+    joins = [
+        order.upstream
+        for order in harness.engines.orders
+        if order.kind is fake_engines.Kind.JOIN and order.epoch > 200000
+    ]
+    assert member.name not in joins
+
+
+@pytest.mark.parametrize('shown', ['last group', 'none'])
+async def test_old_entry_written_late_moves_no_engine(shown):
+    """An entry of an earlier epoch is older than a report of a later one.
+
+    An order to leave that an engine answers as already done says nothing on
+    the group that the engine is in by now.
+    """
     harness = Harness({'d0': EMPTY})
     await harness.run(8.0)
     harness.start_traffic()
-    harness.engines.is_store_down = True
-    lost = harness.members('big')[0]
+    old = harness.open_head('big').membership
+    lost = harness.members('big')[2]
     harness.engines.by_name[lost].is_dead = True
-    await harness.run(5.0)
-    head = next(
-        engine
-        for engine in harness.engines.by_name.values()
-        if engine.model == 'big'
-        and engine.state is deployment.GroupState.OPEN
-        and not engine.is_dead
-    )
+    harness.control.probe_group(harness.members('big')[0])
+    await harness.run(3.0)
+    head = harness.open_head('big')
     group = head.group
+    assert group != old.group
+    harness.engines.are_entries_old = True
+    harness.engines.show_old_entry(
+        head.name, old if shown == 'last group' else None
+    )
+    await harness.run(1.5)
+    assert harness.engines.stolen_heads == []
+    if shown == 'last group':
+        assert (head.group, head.state) == (group, deployment.GroupState.OPEN)
+
+
+async def test_engine_that_had_left_its_group_is_asked_where_it_is():
+    """Its answer to the order says that it is not in that group, no more."""
+    harness = Harness({'d0': EMPTY})
+    harness.witness = _OtherNodes()
     harness.elect_controller(term=2)
-    harness.control.update_demand({'big': 1.0, 'small': 1.0})
-    harness.engines.is_store_down = False
+    await harness.run(8.0)
+    harness.start_traffic()
+    by_name = harness.engines.by_name
+    spares = [engine for engine in by_name.values() if not engine.group]
+    assert spares
     harness.engines.are_entries_old = True
-    harness.settles_at = harness.clock.now() + 2.0
+    for engine in spares:
+        engine.is_mute = True
+        harness.engines.show_old_entry(
+            engine.name,
+            deployment.Membership('g7', 7, 1, deployment.GroupState.READY),
+        )
     await harness.run(1.5)
-    harness.engines.are_entries_old = False
+    assert {order.upstream for order in harness.engines.orders[-2:]} == {
+        engine.name for engine in spares
+    }
+    lost = harness.members('big')[2]
+    by_name[lost].is_dead = True
+    harness.witness.dead.add(lost)
+    harness.control.probe_group(harness.members('big')[0])
     await harness.run(3.0)
-    assert harness.engines.stolen_heads == []
-    assert (head.group, head.state) == (group, deployment.GroupState.OPEN)
+    assert not any(engine.group for engine in spares)
+
+
+@pytest.mark.parametrize('rank', [0, 2])
+async def test_new_leader_waits_for_entries_that_expired_in_an_outage(rank):
+    """Only until they may be missing, and only if a group lacks a member."""
+    harness = Harness({'d0': EMPTY})
+    await harness.run(8.0)
+    harness.start_traffic()
+    formed = harness.memberships()
+    late = harness.members('big')[rank]
+    before = len(harness.engines.orders)
+    harness.settles_at = harness.clock.now() + 2.0
+    with harness.unregistered([late]):
+        harness.engines.advance(STEP_S)
+        harness.elect_controller(term=2)
+        harness.control.update_demand({'big': 1.0, 'small': 1.0})
+        await harness.run(1.5)
+    await harness.run(2.0)
+    assert harness.memberships() == formed
+    assert harness.engines.orders[before:] == []
+
+
+@pytest.mark.parametrize('rank', [0, 1, 2, 3])
+@pytest.mark.parametrize('may_settle_s', [0.0, 2.0])
+async def test_member_lost_during_a_change_of_leader_is_replaced(
+    rank, may_settle_s
+):
+    """As soon as its loss is known, if no other entry is missing."""
+    harness = Harness({'d0': EMPTY})
+    await harness.run(8.0)
+    harness.start_traffic()
+    lost = harness.members('big')[rank]
+    harness.engines.entry_ttl_s = 4.0
+    harness.engines.by_name[lost].is_dead = True
+    harness.elect_controller(term=2)
+    harness.control.update_demand({'big': 1.0, 'small': 1.0})
+    harness.settles_at = harness.clock.now() + may_settle_s
+    await harness.run(1.6)
+    assert harness.open_groups('big') == 1
+
+
+@pytest.mark.parametrize('domains', [1, 3])
+async def test_calm_change_of_leader_asks_each_engine_once(domains):
+    """It sends no order, and the members are not probed once more."""
+    harness = Harness({f'd{n}': EMPTY for n in range(domains)})
+    await harness.run(8.0)
+    harness.start_traffic()
+    await harness.run(3.0)
+    before = len(harness.engines.orders)
+    harness.elect_controller(term=2)
+    harness.control.update_demand({'big': 1.0, 'small': 1.0})
+    reports = harness.engines.report_count
+    await harness.run(1.5)
+    assert harness.engines.orders[before:] == []
+    asked = harness.engines.report_count - reports
+    assert asked == len(harness.engines.by_name)
 
 
 async def test_spares_of_a_dead_domain_are_not_ordered():
@@ -264,9 +463,12 @@
     """No order is sent if the lease expires after the planning."""
     harness = Harness({'d0': EMPTY})
     for _step in range(10):
-        if not harness.tasks:
-            harness.engines.advance(STEP_S)
-            harness.control.tick()
+        harness.engines.advance(STEP_S)
+        harness.control.tick()
+        if harness.control.dump()['groups']:
+            break  # planned; the orders are not sent yet
+        while harness.tasks:
+            await asyncio.gather(*harness.tasks)
     assert harness.tasks
     harness.lease.held = held
     while harness.tasks:
